--- /dev/null
+++ b/include/tarragonbridge/config.h
@@ -0,0 +1,51 @@
+/// Every tunable of the dispatcher, with its unit.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace tarragonbridge::config {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Requests of callers.
+constexpr std::size_t MaxTasksPerJob = 1000;
+constexpr std::size_t MaxBodyBytes = 8U << 20U;
+constexpr std::size_t MaxKeyBytes = 128;
+constexpr std::size_t MaxJsonDepth = 64;
+constexpr milliseconds DefaultTimeLimit{30'000};
+constexpr milliseconds MaxTimeLimit{600'000};
+constexpr milliseconds DefaultExpectedRunTime{200};
+
+// Clocks and kept answers.
+constexpr milliseconds MaxClockSkew{2'000};
+constexpr milliseconds AnswerRetention{900'000};
+
+// Queues.
+constexpr std::size_t MaxQueuedTasks = 100'000;
+constexpr std::size_t MaxQueuedBytes = 256U << 20U;
+
+// Attempts.
+constexpr milliseconds TaskLease{2'000};
+constexpr milliseconds LeaseRenewInterval{500};
+constexpr milliseconds RefusalBackoff{20};
+constexpr std::uint32_t MaxAttemptsPerTask = 5;
+
+// Connections.
+constexpr unsigned MaxCallerConnections = 4'000;
+constexpr unsigned ServerThreads = 2;
+constexpr seconds ServerIdleTimeout{30};
+constexpr milliseconds MaxUploadTime{10'000};
+constexpr milliseconds ConnectTimeout{1'000};
+constexpr long MaxConnectionsPerTarget = 20;
+
+// The platform's store.
+constexpr milliseconds StoreTimeout{3'000};
+constexpr milliseconds StorePollInterval{1'000};
+
+// Shutdown.
+constexpr milliseconds MaxShutdownTime{60'000};
+
+} // namespace tarragonbridge::config
--- /dev/null
+++ b/src/base/signals.cpp
@@ -0,0 +1,32 @@
+#include "base/signals.h"
+
+#include <csignal>
+#include <pthread.h>
+
+namespace tarragonbridge {
+
+namespace {
+sigset_t endSignals() {
+  sigset_t Set;
+  sigemptyset(&Set);
+  sigaddset(&Set, SIGTERM);
+  sigaddset(&Set, SIGINT);
+  return Set;
+}
+} // namespace
+
+void blockEndSignals() {
+  const sigset_t Set = endSignals();
+  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+int waitForEndSignal() {
+  const sigset_t Set = endSignals();
+  int Signal = 0;
+  while (sigwait(&Set, &Signal) != 0) {
+  }
+  return Signal;
+}
+
+} // namespace tarragonbridge
--- /dev/null
+++ b/src/cli/command.cpp
@@ -0,0 +1,45 @@
+#include "cli/command.h"
+
+#include "cli/job_commands.h"
+#include "cli/status_commands.h"
+#include "core/json_reader.h"
+
+#include <array>
+#include <iostream>
+
+namespace tarragonbridge::cli {
+
+namespace {
+constexpr std::array Table{
+    command{"job", "submit", "submit a job and print its answer", submitJob},
+    command{"job", "status", "tell how a job stands", showJob},
+    command{"job", "cancel", "cancel a job", cancelJob},
+    command{"status", "", "tell whether a host is well", showStatus},
+    command{"version", "", "print the version", showVersion},
+};
+} // namespace
+
+std::span<const command> commandTable() { return Table; }
+
+http_result callHost(const std::string &Address, http_call Call) {
+  http_client Client;
+  Call.Url = "http://" + Address + Call.Url;
+  return sendAndWait(Client, std::move(Call));
+}
+
+exit_code reportFailure(const std::string &Address, const http_result &Result) {
+  if (Result.Status == 0) {
+    std::cerr << Address << " did not answer: " << Result.Error << '\n';
+    return exit_code::Unreachable;
+  }
+  const json_document Document(Result.Body, json_comments::Refused);
+  const bool HasMessage =
+      Document.isValid() && Document.root().isMember("message");
+  std::cerr << Address << " refused the request (" << Result.Status << "): "
+            << (HasMessage ? Document.root()["message"].asString()
+                           : Result.Body)
+            << '\n';
+  return exit_code::Refused;
+}
+
+} // namespace tarragonbridge::cli
--- /dev/null
+++ b/src/core/admission_p.h
@@ -0,0 +1,14 @@
+/// Admission: what is refused before anything of a submission starts.
+#pragma once
+
+#include "core/answers_p.h"
+
+namespace tarragonbridge {
+
+/// Checks a submission whose key has no record here.
+///
+/// @returns the refusal, or nothing when the job is to be run
+std::optional<refusal> checkAdmission(const dispatcher_state &State,
+                                      const job_request &Job, instant Now);
+
+} // namespace tarragonbridge
--- /dev/null
+++ b/src/core/jobs.cpp
@@ -0,0 +1,228 @@
+#include "core/jobs_p.h"
+
+#include "core/admission_p.h"
+#include "core/answers_p.h"
+#include "core/attempts_p.h"
+#include "core/dispatch_p.h"
+#include "core/json_text.h"
+#include "tarragonbridge/config.h"
+
+#include <algorithm>
+
+namespace tarragonbridge {
+
+namespace {
+constexpr int StatusCreated = 201;
+
+job_record makeRecord(const job_request &Request, instant Now) {
+  job_record Job;
+  Job.Key = Request.Key;
+  Job.Team = Request.Team;
+  Job.Class = Request.Class;
+  Job.Digest = Request.Digest;
+  Job.Repeatable = Request.Repeatable;
+  Job.Deadline =
+      Now.Boot + (Request.SubmittedAt + Request.TimeLimit - Now.Wall);
+  // A submission time may lie ahead by the skew, and clocks may step by it.
+  Job.ForgetAt = Now.Boot + config::AnswerRetention + 2 * config::MaxClockSkew;
+  Job.Tasks.reserve(Request.Tasks.size());
+  for (const task_request &Task : Request.Tasks) {
+    Job.Tasks.push_back({});
+    Job.Tasks.back().Request = Task;
+  }
+  Job.Unsettled = Job.Tasks.size();
+  return Job;
+}
+
+void answerOrHold(job_record &Job, const job_submitted &Event,
+                  effects &Effects) {
+  if (Event.Async) {
+    Effects.emplace_back(answerAccepted(Job, Event.Request));
+    return;
+  }
+  if (Job.Phase != job_phase::Running) {
+    Effects.emplace_back(answerJob(Job, Event.Request));
+    return;
+  }
+  Job.Waiters.push_back({Event.Request, boot_time::max()});
+}
+
+/// Answers a submission whose key this host has a record of.
+void onResubmitted(dispatcher_state &State, job_record &Job,
+                   const job_submitted &Event, effects &Effects) {
+  if (Job.Digest != Event.Job.Digest) {
+    Effects.emplace_back(answerRefusal(State, Event.Request,
+                                       {Job.Key, reason::KeyReused, false,
+                                        "submit", State.Init.Self.Host, ""}));
+    return;
+  }
+  answerOrHold(Job, Event, Effects);
+}
+
+void answerWaiters(job_record &Job, effects &Effects) {
+  for (const waiter &Waiter : Job.Waiters) {
+    Effects.emplace_back(answerJob(Job, Waiter.Request));
+  }
+  Job.Waiters.clear();
+}
+
+void endJob(dispatcher_state &State, job_record &Job, job_phase Phase,
+            effects &Effects) {
+  Job.Phase = Phase;
+  --State.RunningJobs;
+  answerWaiters(Job, Effects);
+  for (task_record &Task : Job.Tasks) {
+    Task.Request.Payload.clear();
+    Task.Request.Payload.shrink_to_fit();
+  }
+}
+
+void refuseUnknownKey(dispatcher_state &State, request_handle Request,
+                      const std::string &Key, effects &Effects) {
+  Effects.emplace_back(answerRefusal(
+      State, Request,
+      {Key, reason::UnknownKey, false, "find job", State.Init.Self.Host, ""}));
+}
+} // namespace
+
+void onSessionRequested(dispatcher_state &State, const session_requested &Event,
+                        effects &Effects) {
+  if (State.ShuttingDown) {
+    Effects.emplace_back(
+        answerRefusal(State, Event.Request,
+                      {"", reason::ShuttingDown, true, "open session",
+                       State.Init.Self.Host, ""}));
+    return;
+  }
+  Json::Value Body;
+  Body["session"] = formatSession(State.Init.Self, State.NextSession++);
+  Body["address"] = State.Init.Address;
+  Effects.emplace_back(
+      answer_request{Event.Request, StatusCreated, writeJson(Body), {}});
+}
+
+void onJobSubmitted(dispatcher_state &State, const job_submitted &Event,
+                    instant Now, effects &Effects) {
+  if (const auto Found = State.Jobs.find(Event.Job.Key);
+      Found != State.Jobs.end()) {
+    onResubmitted(State, Found->second, Event, Effects);
+    return;
+  }
+  if (auto Refusal = checkAdmission(State, Event.Job, Now)) {
+    Effects.emplace_back(answerRefusal(State, Event.Request, *Refusal));
+    return;
+  }
+  ++State.Figures.JobsSubmitted;
+  ++State.RunningJobs;
+  job_record &Job =
+      State.Jobs.emplace(Event.Job.Key, makeRecord(Event.Job, Now))
+          .first->second;
+  setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
+  setTimer(State, Job.ForgetAt, timer_kind::Forget, Job.Key);
+  answerOrHold(Job, Event, Effects);
+  enqueueJob(State, Job);
+  dispatchQueued(State, Now, Effects);
+}
+
+void onJobQueried(dispatcher_state &State, const job_queried &Event,
+                  instant Now, effects &Effects) {
+  const auto Found = State.Jobs.find(Event.Key);
+  if (Found == State.Jobs.end()) {
+    refuseUnknownKey(State, Event.Request, Event.Key, Effects);
+    return;
+  }
+  job_record &Job = Found->second;
+  if (Job.Phase != job_phase::Running || Event.Wait <= milliseconds::zero()) {
+    Effects.emplace_back(answerJob(Job, Event.Request));
+    return;
+  }
+  const boot_time Until = Now.Boot + std::min(Event.Wait, config::MaxTimeLimit);
+  Job.Waiters.push_back({Event.Request, Until});
+  setTimer(State, Until, timer_kind::Wait, Job.Key);
+}
+
+void onJobCancelled(dispatcher_state &State, const job_cancelled &Event,
+                    instant Now, effects &Effects) {
+  const auto Found = State.Jobs.find(Event.Key);
+  if (Found == State.Jobs.end()) {
+    refuseUnknownKey(State, Event.Request, Event.Key, Effects);
+    return;
+  }
+  job_record &Job = Found->second;
+  if (Job.Phase == job_phase::Running) {
+    failJob(State, Job,
+            {reason::Cancelled, true, false, "cancel", "caller", ""}, Effects);
+    dispatchQueued(State, Now, Effects);
+  }
+  Effects.emplace_back(answerJob(Job, Event.Request));
+}
+
+void failJob(dispatcher_state &State, job_record &Job, job_failure Failure,
+             effects &Effects) {
+  bool AnyStarted = false;
+  bool AnyOut = false;
+  for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
+    task_record &Task = Job.Tasks[Index];
+    AnyStarted = AnyStarted || Task.Attempts > Task.Refusals;
+    AnyOut = AnyOut || Task.Phase == task_phase::Running;
+    if (Task.Phase == task_phase::Queued) {
+      --State.QueuedTasks;
+    }
+    if (Task.Phase == task_phase::Running) {
+      requestStop(State, Job, Index, Effects);
+    }
+    Task.Output.clear();
+    Task.Phase = task_phase::Settled;
+  }
+  Failure.NotRun = !AnyStarted;
+  Failure.OutcomeKnown = Failure.OutcomeKnown && !AnyOut;
+  Job.Unsettled = 0;
+  Job.Failure = std::move(Failure);
+  State.Figures.Reasons.add(Job.Failure.Reason);
+  ++State.Figures.JobsFailed;
+  endJob(State, Job, job_phase::Failed, Effects);
+}
+
+void completeJob(dispatcher_state &State, job_record &Job, effects &Effects) {
+  ++State.Figures.JobsCompleted;
+  endJob(State, Job, job_phase::Complete, Effects);
+}
+
+void onDeadline(dispatcher_state &State, const std::string &Key,
+                effects &Effects) {
+  const auto Found = State.Jobs.find(Key);
+  if (Found == State.Jobs.end() || Found->second.Phase != job_phase::Running) {
+    return;
+  }
+  failJob(State, Found->second,
+          {reason::DeadlineExceeded, true, false, "wait for tasks",
+           State.Init.Self.Host, ""},
+          Effects);
+}
+
+void onWaitOver(dispatcher_state &State, const std::string &Key, instant Now,
+                effects &Effects) {
+  const auto Found = State.Jobs.find(Key);
+  if (Found == State.Jobs.end()) {
+    return;
+  }
+  job_record &Job = Found->second;
+  const auto IsOver = [&](const waiter &Waiter) {
+    return Waiter.Until <= Now.Boot;
+  };
+  for (const waiter &Waiter : Job.Waiters) {
+    if (IsOver(Waiter)) {
+      Effects.emplace_back(answerJob(Job, Waiter.Request));
+    }
+  }
+  std::erase_if(Job.Waiters, IsOver);
+}
+
+void onForget(dispatcher_state &State, const std::string &Key) {
+  const auto Found = State.Jobs.find(Key);
+  if (Found != State.Jobs.end() && Found->second.Phase != job_phase::Running) {
+    State.Jobs.erase(Found);
+  }
+}
+
+} // namespace tarragonbridge
--- /dev/null
+++ b/src/core/reducer.cpp
@@ -0,0 +1,157 @@
+#include "core/attempts_p.h"
+#include "core/dispatch_p.h"
+#include "core/jobs_p.h"
+#include "core/state_p.h"
+
+namespace tarragonbridge {
+
+namespace {
+/// Joins the list with what this host has out at targets that left it.
+void onHostsListed(dispatcher_state &State, const hosts_listed &Event,
+                   instant Now, effects &Effects) {
+  for (auto &[Name, Target] : State.Targets) {
+    Target.Listed = false;
+  }
+  for (const host_entry &Host : Event.Hosts) {
+    if (Host.Role != host_role::Target) {
+      continue;
+    }
+    target_record &Target = State.Targets[Host.Name];
+    Target.Host = Host;
+    Target.Listed = true;
+  }
+  std::erase_if(State.Targets, [](const auto &Entry) {
+    return !Entry.second.Listed && Entry.second.Running.empty();
+  });
+  dispatchQueued(State, Now, Effects);
+}
+
+void onSettingsLoaded(dispatcher_state &State, const settings_loaded &Event,
+                      instant Now, effects &Effects) {
+  if (Event.Settings.Revision <= State.Settings.Revision) {
+    return;
+  }
+  State.Settings = Event.Settings;
+  dispatchQueued(State, Now, Effects);
+}
+
+void fireTimer(dispatcher_state &State, const timer &Timer, instant Now,
+               effects &Effects) {
+  switch (Timer.Kind) {
+  case timer_kind::Deadline:
+    onDeadline(State, Timer.Key, Effects);
+    dispatchQueued(State, Now, Effects);
+    break;
+  case timer_kind::Forget:
+    onForget(State, Timer.Key);
+    break;
+  case timer_kind::Wait:
+    onWaitOver(State, Timer.Key, Now, Effects);
+    break;
+  case timer_kind::Dispatch:
+    dispatchQueued(State, Now, Effects);
+    break;
+  case timer_kind::RenewLeases:
+    onRenewLeases(State, Now, Effects);
+    break;
+  }
+}
+
+void fireDueTimers(dispatcher_state &State, instant Now, effects &Effects) {
+  while (!State.Timers.empty() && State.Timers.begin()->first <= Now.Boot) {
+    const timer Timer = std::move(State.Timers.begin()->second);
+    State.Timers.erase(State.Timers.begin());
+    fireTimer(State, Timer, Now, Effects);
+  }
+}
+
+/// Passes each kind of event to its module.
+struct event_visitor {
+  dispatcher_state &State;
+  instant Now;
+  effects &Effects;
+
+  void operator()(const session_requested &Event) const {
+    onSessionRequested(State, Event, Effects);
+  }
+  void operator()(const job_submitted &Event) const {
+    onJobSubmitted(State, Event, Now, Effects);
+  }
+  void operator()(const job_queried &Event) const {
+    onJobQueried(State, Event, Now, Effects);
+  }
+  void operator()(const job_cancelled &Event) const {
+    onJobCancelled(State, Event, Now, Effects);
+  }
+  void operator()(const task_replied &Event) const {
+    onTaskReplied(State, Event, Now, Effects);
+  }
+  void operator()(const leases_answered &Event) const {
+    onLeasesAnswered(State, Event);
+  }
+  void operator()(const hosts_listed &Event) const {
+    onHostsListed(State, Event, Now, Effects);
+  }
+  void operator()(const settings_loaded &Event) const {
+    onSettingsLoaded(State, Event, Now, Effects);
+  }
+  void operator()(const shutdown_requested & /*Event*/) const {
+    State.ShuttingDown = true;
+  }
+  void operator()(const timer_fired & /*Event*/) const {}
+};
+
+/// Tells once that nothing is in flight after a shutdown was asked for.
+void tellShutdown(dispatcher_state &State, effects &Effects) {
+  const bool IsIdle = State.RunningJobs == 0 && State.RunningTasks == 0;
+  if (State.ShuttingDown && IsIdle && !State.ShutdownTold) {
+    State.ShutdownTold = true;
+    Effects.emplace_back(shutdown_finished{});
+  }
+}
+} // namespace
+
+void dispatcher_deleter::operator()(dispatcher_state *State) const {
+  delete State;
+}
+
+dispatcher makeDispatcher(const dispatcher_init &Init) {
+  dispatcher State(new dispatcher_state);
+  State->Init = Init;
+  State->Settings = defaultSettings(Init.Self.FailureDomain);
+  State->Random.seed(Init.RandomSeed);
+  return State;
+}
+
+void setTimer(dispatcher_state &State, boot_time When, timer_kind Kind,
+              std::string Key) {
+  State.Timers.emplace(When, timer{Kind, std::move(Key)});
+}
+
+std::vector<effect> reduce(dispatcher_state &State, const event &Event,
+                           instant Now) {
+  effects Effects;
+  std::visit(event_visitor{State, Now, Effects}, Event);
+  fireDueTimers(State, Now, Effects);
+  tellShutdown(State, Effects);
+  return Effects;
+}
+
+std::optional<boot_time> nextTimer(const dispatcher_state &State) {
+  if (State.Timers.empty()) {
+    return std::nullopt;
+  }
+  return State.Timers.begin()->first;
+}
+
+dispatcher_figures figures(const dispatcher_state &State) {
+  dispatcher_figures Figures = State.Figures;
+  Figures.TasksQueued = State.QueuedTasks;
+  Figures.TasksRunning = State.RunningTasks;
+  Figures.JobsKept = State.Jobs.size();
+  Figures.Targets = State.Targets.size();
+  Figures.SettingsRevision = State.Settings.Revision;
+  return Figures;
+}
+
+} // namespace tarragonbridge
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,160 @@
+#include "daemon/daemon.h"
+
+#include "base/clock.h"
+#include "base/codec.h"
+#include "base/log.h"
+
+#include <thread>
+
+namespace tarragonbridge {
+
+namespace {
+constexpr int StatusUnavailable = 503;
+constexpr milliseconds ShutdownPollInterval{10};
+
+http_response toResponse(answer_request &&Answer) {
+  http_response Response;
+  Response.Status = Answer.Status;
+  Response.Body = std::move(Answer.Body);
+  if (Answer.RetryAfter > milliseconds::zero()) {
+    const auto Seconds =
+        std::chrono::ceil<std::chrono::seconds>(Answer.RetryAfter);
+    Response.Headers.emplace_back("Retry-After",
+                                  std::to_string(Seconds.count()));
+  }
+  return Response;
+}
+
+dispatcher_init makeInit(const daemon_config &Config) {
+  dispatcher_init Init;
+  Init.Self = {Config.FailureDomain, Config.Host, randomNumber()};
+  Init.Address = Config.Listen;
+  Init.RandomSeed = randomNumber();
+  return Init;
+}
+
+http_server_init makeServerInit(const daemon_config &Config) {
+  http_server_init Init;
+  Init.Listen = Config.Listen;
+  return Init;
+}
+} // namespace
+
+daemon::daemon(const daemon_config &Config)
+    : Init(makeInit(Config)), Server(makeServerInit(Config)),
+      Loop(makeDispatcher(Init),
+           [this](effect &&Effect) { carryOut(std::move(Effect)); }),
+      Targets(TargetClient,
+              [this](event &&Event) { Loop.post(std::move(Event)); }) {}
+
+daemon::~daemon() {
+  Platform.reset();
+  Loop.stop();
+}
+
+result<std::unique_ptr<daemon>> daemon::start(const daemon_config &Config) {
+  std::unique_ptr<daemon> Self(new daemon(Config));
+  const auto OnRequest = [Raw = Self.get()](request_handle Handle,
+                                            http_request &&Request) {
+    Raw->onRequest(Handle, std::move(Request));
+  };
+  BOOST_LEAF_CHECK(Self->Server.start(OnRequest));
+  Self->Platform = std::make_unique<platform_watch>(
+      store_client(Self->StoreClient, Config.Store), Config.FailureDomain,
+      [Raw = Self.get()](event &&Event) { Raw->Loop.post(std::move(Event)); });
+  logEvent("started",
+           {{"host", Config.Host},
+            {"failure_domain", Config.FailureDomain},
+            {"listen", Config.Listen},
+            {"incarnation", std::to_string(Self->Init.Self.Incarnation)}});
+  return Self;
+}
+
+bool daemon::answerLocally(request_handle Handle, const http_request &Request) {
+  if (Request.Method != "GET") {
+    return false;
+  }
+  if (Request.Path == "/healthz") {
+    Server.respond(Handle, {ShuttingDown ? StatusUnavailable : 200,
+                            ShuttingDown ? R"({"state":"leaving"})"
+                                         : R"({"state":"live"})",
+                            {},
+                            "application/json"});
+    return true;
+  }
+  if (Request.Path == "/metrics") {
+    Server.respond(
+        Handle, {200, formatMetrics(Loop.currentFigures()), {}, "text/plain"});
+    return true;
+  }
+  if (Request.Path == "/v1/status") {
+    Server.respond(Handle,
+                   {200,
+                    formatStatus(Init, Loop.currentFigures(), ShuttingDown),
+                    {},
+                    "application/json"});
+    return true;
+  }
+  return false;
+}
+
+void daemon::onRequest(request_handle Handle, http_request &&Request) {
+  if (answerLocally(Handle, Request)) {
+    return;
+  }
+  tryOr(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(Event, parseCallerRequest(Handle, Request));
+        Loop.post(std::move(Event));
+        return {};
+      },
+      [&](const error &Error) {
+        logEvent("request_refused",
+                 {{"peer", Request.Peer},
+                  {"reason", std::string(describe(Error.Reason).Name)},
+                  {"message", Error.Message}});
+        Server.respond(Handle, refusalResponse(Error));
+      });
+}
+
+void daemon::carryOut(effect &&Effect) {
+  if (auto *Answer = std::get_if<answer_request>(&Effect)) {
+    const request_handle Handle = Answer->Request;
+    Server.respond(Handle, toResponse(std::move(*Answer)));
+  } else if (auto *Start = std::get_if<start_task>(&Effect)) {
+    Targets.start(std::move(*Start));
+  } else if (const auto *Stop = std::get_if<stop_task>(&Effect)) {
+    Targets.stop(*Stop);
+  } else if (const auto *Renew = std::get_if<renew_leases>(&Effect)) {
+    Targets.renew(*Renew);
+  } else if (const auto *Line = std::get_if<log_line>(&Effect)) {
+    logEvent(Line->Event, Line->Fields);
+  } else {
+    const std::lock_guard Lock(Mutex);
+    Finished = true;
+    Ready.notify_one();
+  }
+}
+
+bool daemon::shutDown() {
+  const boot_time Started = bootNow();
+  ShuttingDown = true;
+  logEvent("shutting_down",
+           {{"open_requests", std::to_string(Server.openRequests())}});
+  Loop.post(shutdown_requested{});
+  {
+    std::unique_lock Lock(Mutex);
+    Ready.wait_for(Lock, config::MaxShutdownTime, [this] { return Finished; });
+  }
+  // Answers are given; their last bytes may still be on the way out.
+  while (Server.openRequests() != 0 &&
+         bootNow() - Started < config::MaxShutdownTime) {
+    std::this_thread::sleep_for(ShutdownPollInterval);
+  }
+  Server.stopAccepting();
+  const std::size_t CutOff = Server.openRequests();
+  logEvent("stopped", {{"cut_off", std::to_string(CutOff)}});
+  return CutOff == 0;
+}
+
+} // namespace tarragonbridge
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,48 @@
+/// tarragonbridged: the daemon of an entry host.
+#include "base/log.h"
+#include "base/signals.h"
+#include "daemon/daemon.h"
+
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace tarragonbridge;
+
+namespace {
+constexpr int ExitCutOff = 1;
+constexpr int ExitBadConfiguration = 2;
+
+int serve(const daemon_config &Config) {
+  blockEndSignals();
+  initLog("tarragonbridged");
+  return tryOr(
+      [&]() -> result<int> {
+        BOOST_LEAF_AUTO(Daemon, daemon::start(Config));
+        waitForEndSignal();
+        return Daemon->shutDown() ? 0 : ExitCutOff;
+      },
+      [](const error &Error) {
+        logEvent("start_failed", {{"step", Error.Step},
+                                  {"peer", Error.Peer},
+                                  {"message", Error.Message}});
+        return ExitBadConfiguration;
+      });
+}
+} // namespace
+
+int main(int Argc, char **Argv) {
+  TCLAP::CmdLine Line("Serves callers and operators on an entry host.", ' ',
+                      "0.1.0");
+  const TCLAP::ValueArg<std::string> File("c", "config", "the daemon's file",
+                                          true, "", "FILE", Line);
+  Line.parse(Argc, Argv);
+  return tryOr(
+      [&]() -> result<int> {
+        BOOST_LEAF_AUTO(Config, loadDaemonConfig(File.getValue()));
+        return serve(Config);
+      },
+      [](const error &Error) {
+        std::cerr << Error.Peer << ":\n" << Error.Message << '\n';
+        return ExitBadConfiguration;
+      });
+}
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,301 @@
+#include "net/http_server.h"
+
+#include "base/clock.h"
+#include "net/address.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <atomic>
+#include <microhttpd.h>
+#include <mutex>
+#include <optional>
+#include <unistd.h>
+#include <unordered_map>
+
+namespace tarragonbridge {
+
+namespace {
+constexpr int StatusRequestTimeout = 408;
+constexpr int StatusTooLarge = 413;
+constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
+
+/// One request from its first byte to the end of its answer.
+struct exchange {
+  MHD_Connection *Connection = nullptr;
+  request_handle Handle{};
+  http_request Request;
+  boot_time StartedAt;
+  std::optional<http_response> Response;
+  int EarlyStatus = 0; ///< set when the body is refused while it is read
+  bool Delivered = false;
+};
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::transform(
+      Lower.begin(), Lower.end(), Lower.begin(),
+      [](unsigned char C) { return static_cast<char>(std::tolower(C)); });
+  return Lower;
+}
+
+MHD_Result collectHeader(void *Cls, MHD_ValueKind /*Kind*/, const char *Key,
+                         const char *Value) {
+  auto &Headers =
+      *static_cast<std::map<std::string, std::string, std::less<>> *>(Cls);
+  Headers[lowerCase(Key)] = Value == nullptr ? "" : Value;
+  return MHD_YES;
+}
+
+MHD_Result collectQuery(void *Cls, MHD_ValueKind /*Kind*/, const char *Key,
+                        const char *Value) {
+  auto &Query =
+      *static_cast<std::map<std::string, std::string, std::less<>> *>(Cls);
+  Query[Key] = Value == nullptr ? "" : Value;
+  return MHD_YES;
+}
+
+std::string peerOf(MHD_Connection *Connection) {
+  const auto *Info =
+      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (Info == nullptr || Info->client_addr->sa_family != AF_INET) {
+    return "unknown";
+  }
+  const auto *Address =
+      reinterpret_cast<const sockaddr_in *>(Info->client_addr);
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  inet_ntop(AF_INET, &Address->sin_addr, Text.data(), Text.size());
+  return std::string(Text.data()) + ":" +
+         std::to_string(ntohs(Address->sin_port));
+}
+
+MHD_Result queueResponse(MHD_Connection *Connection,
+                         const http_response &Response) {
+  MHD_Response *Raw = MHD_create_response_from_buffer(
+      Response.Body.size(), const_cast<char *>(Response.Body.data()),
+      MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(Raw, MHD_HTTP_HEADER_CONTENT_TYPE,
+                          Response.ContentType.c_str());
+  for (const auto &[Name, Value] : Response.Headers) {
+    MHD_add_response_header(Raw, Name.c_str(), Value.c_str());
+  }
+  const MHD_Result Queued = MHD_queue_response(
+      Connection, static_cast<unsigned>(Response.Status), Raw);
+  MHD_destroy_response(Raw);
+  return Queued;
+}
+
+http_response earlyRefusal(int Status) {
+  const std::string Reason =
+      Status == StatusTooLarge ? "too_large" : "malformed";
+  const std::string Message = Status == StatusTooLarge
+                                  ? "the body is too large"
+                                  : "the body took too long to arrive";
+  return {
+      Status,
+      R"({"key":"","state":"refused","reason":")" + Reason +
+          R"(","not_run":true,"step":"read body","peer":"caller","message":")" +
+          Message + R"("})",
+      {},
+      "application/json"};
+}
+} // namespace
+
+struct http_server::impl {
+  http_server_init Init;
+  handler Handler;
+  MHD_Daemon *Daemon = nullptr;
+  std::atomic<std::uint64_t> NextHandle{1};
+  mutable std::mutex Mutex;
+  std::unordered_map<std::uint64_t, exchange *> Held; ///< guarded by Mutex
+  std::atomic<std::size_t> Open{0};
+
+  exchange *open(MHD_Connection *Connection, const char *Path,
+                 const char *Method);
+  void readBody(exchange &Exchange, std::string_view Part) const;
+  MHD_Result deliver(exchange &Exchange);
+  MHD_Result answer(exchange &Exchange);
+
+  static MHD_Result onAccess(void *Cls, MHD_Connection *Connection,
+                             const char *Path, const char *Method,
+                             const char *Version, const char *Data,
+                             std::size_t *Size, void **Context);
+  static void onCompleted(void *Cls, MHD_Connection *Connection, void **Context,
+                          MHD_RequestTerminationCode Code);
+};
+
+exchange *http_server::impl::open(MHD_Connection *Connection, const char *Path,
+                                  const char *Method) {
+  auto *Exchange = new exchange; // freed in onCompleted
+  Exchange->Connection = Connection;
+  Exchange->Handle = request_handle(NextHandle++);
+  Exchange->StartedAt = bootNow();
+  Exchange->Request.Method = Method;
+  Exchange->Request.Path = Path;
+  Exchange->Request.Peer = peerOf(Connection);
+  MHD_get_connection_values(Connection, MHD_HEADER_KIND, collectHeader,
+                            &Exchange->Request.Headers);
+  MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, collectQuery,
+                            &Exchange->Request.Query);
+  ++Open;
+  return Exchange;
+}
+
+void http_server::impl::readBody(exchange &Exchange,
+                                 std::string_view Part) const {
+  if (Exchange.EarlyStatus != 0) {
+    return;
+  }
+  if (Exchange.Request.Body.size() + Part.size() > Init.MaxBodyBytes) {
+    Exchange.EarlyStatus = StatusTooLarge;
+  } else if (bootNow() - Exchange.StartedAt > Init.MaxUploadTime) {
+    Exchange.EarlyStatus = StatusRequestTimeout;
+  } else {
+    Exchange.Request.Body += Part;
+    return;
+  }
+  Exchange.Request.Body = {};
+}
+
+MHD_Result http_server::impl::deliver(exchange &Exchange) {
+  if (Exchange.EarlyStatus != 0) {
+    return queueResponse(Exchange.Connection,
+                         earlyRefusal(Exchange.EarlyStatus));
+  }
+  const request_handle Handle = Exchange.Handle;
+  http_request Request = std::move(Exchange.Request);
+  {
+    // Suspended before the handle is known, so that no answer comes too early.
+    const std::lock_guard Lock(Mutex);
+    Exchange.Delivered = true;
+    MHD_suspend_connection(Exchange.Connection);
+    Held.emplace(static_cast<std::uint64_t>(Handle), &Exchange);
+  }
+  Handler(Handle, std::move(Request));
+  return MHD_YES;
+}
+
+MHD_Result http_server::impl::answer(exchange &Exchange) {
+  const std::lock_guard Lock(Mutex);
+  if (!Exchange.Response) {
+    return MHD_YES;
+  }
+  return queueResponse(Exchange.Connection, *Exchange.Response);
+}
+
+MHD_Result http_server::impl::onAccess(void *Cls, MHD_Connection *Connection,
+                                       const char *Path, const char *Method,
+                                       const char * /*Version*/,
+                                       const char *Data, std::size_t *Size,
+                                       void **Context) {
+  auto &Self = *static_cast<impl *>(Cls);
+  if (*Context == nullptr) {
+    *Context = Self.open(Connection, Path, Method);
+    return MHD_YES;
+  }
+  auto &Exchange = *static_cast<exchange *>(*Context);
+  if (*Size != 0) {
+    Self.readBody(Exchange, {Data, *Size});
+    *Size = 0;
+    return MHD_YES;
+  }
+  return Exchange.Delivered ? Self.answer(Exchange) : Self.deliver(Exchange);
+}
+
+void http_server::impl::onCompleted(void *Cls, MHD_Connection * /*Connection*/,
+                                    void **Context,
+                                    MHD_RequestTerminationCode /*Code*/) {
+  auto &Self = *static_cast<impl *>(Cls);
+  auto *Exchange = static_cast<exchange *>(*Context);
+  if (Exchange == nullptr) {
+    return;
+  }
+  {
+    const std::lock_guard Lock(Self.Mutex);
+    Self.Held.erase(static_cast<std::uint64_t>(Exchange->Handle));
+  }
+  delete Exchange;
+  *Context = nullptr;
+  --Self.Open;
+}
+
+std::string http_request::header(std::string_view Name) const {
+  const auto Found = Headers.find(Name);
+  return Found == Headers.end() ? "" : Found->second;
+}
+
+std::string http_request::query(std::string_view Name) const {
+  const auto Found = Query.find(Name);
+  return Found == Query.end() ? "" : Found->second;
+}
+
+http_server::http_server(const http_server_init &Init)
+    : Impl(std::make_unique<impl>()) {
+  Impl->Init = Init;
+}
+
+result<void> http_server::start(handler Handler) {
+  const http_server_init &Init = Impl->Init;
+  const auto Fail = [&](std::string Message) {
+    return boost::leaf::new_error(
+        error{"listen", Init.Listen, reason::Malformed, std::move(Message)});
+  };
+  auto Address = parseAddress(Init.Listen);
+  if (!Address) {
+    return Fail("not an IP address and port");
+  }
+  Impl->Handler = std::move(Handler);
+  const unsigned Flags =
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  Impl->Daemon = MHD_start_daemon(
+      Flags, 0, nullptr, nullptr, &impl::onAccess, Impl.get(),
+      MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&*Address),
+      MHD_OPTION_CONNECTION_LIMIT, Init.MaxConnections,
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<unsigned>(Init.IdleTimeout.count()),
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
+      MHD_OPTION_THREAD_POOL_SIZE, Init.Threads, MHD_OPTION_NOTIFY_COMPLETED,
+      &impl::onCompleted, Impl.get(), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      MHD_OPTION_END);
+  if (Impl->Daemon == nullptr) {
+    return Fail("can't listen on this address");
+  }
+  return {};
+}
+
+http_server::~http_server() {
+  if (Impl->Daemon == nullptr) {
+    return;
+  }
+  {
+    // A suspended connection may not be closed, so all are answered first.
+    const std::lock_guard Lock(Impl->Mutex);
+    for (auto &[Handle, Exchange] : Impl->Held) {
+      if (!Exchange->Response) {
+        Exchange->Response = http_response{503, "", {}, "application/json"};
+        MHD_resume_connection(Exchange->Connection);
+      }
+    }
+  }
+  MHD_stop_daemon(Impl->Daemon);
+}
+
+void http_server::respond(request_handle Request, http_response Response) {
+  const std::lock_guard Lock(Impl->Mutex);
+  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
+  if (Found == Impl->Held.end() || Found->second->Response) {
+    return;
+  }
+  Found->second->Response = std::move(Response);
+  MHD_resume_connection(Found->second->Connection);
+}
+
+void http_server::stopAccepting() {
+  const MHD_socket Socket = MHD_quiesce_daemon(Impl->Daemon);
+  if (Socket != MHD_INVALID_SOCKET) {
+    close(Socket);
+  }
+}
+
+std::size_t http_server::openRequests() const { return Impl->Open; }
+
+} // namespace tarragonbridge
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,78 @@
+/// HTTP server on libmicrohttpd; requests are held until they are answered.
+#pragma once
+
+#include "tarragonbridge/config.h"
+#include "tarragonbridge/error.h"
+#include "tarragonbridge/event.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tarragonbridge {
+
+/// A request, read whole.
+struct http_request {
+  std::string Method;
+  std::string Path;
+  std::string Peer;
+  std::string Body;
+  std::map<std::string, std::string, std::less<>> Query;
+  /// Headers, names in lower case.
+  std::map<std::string, std::string, std::less<>> Headers;
+
+  /// @returns a header, empty if absent
+  std::string header(std::string_view Name) const;
+  /// @returns a query argument, empty if absent
+  std::string query(std::string_view Name) const;
+};
+
+struct http_response {
+  int Status = 200;
+  std::string Body;
+  std::vector<std::pair<std::string, std::string>> Headers;
+  std::string ContentType = "application/json";
+};
+
+struct http_server_init {
+  std::string Listen; ///< IP and port
+  unsigned Threads = config::ServerThreads;
+  unsigned MaxConnections = config::MaxCallerConnections;
+  std::size_t MaxBodyBytes = config::MaxBodyBytes;
+  std::chrono::seconds IdleTimeout = config::ServerIdleTimeout;
+  std::chrono::milliseconds MaxUploadTime = config::MaxUploadTime;
+};
+
+class http_server {
+public:
+  /// Called on a server thread for each whole request; must not block.
+  using handler = std::function<void(request_handle, http_request &&)>;
+
+  explicit http_server(const http_server_init &Init);
+  ~http_server();
+  http_server(const http_server &) = delete;
+  http_server &operator=(const http_server &) = delete;
+
+  /// Starts to listen.
+  ///
+  /// @param[in] Handler may be called before this returns
+  /// @returns an error that names the address when it can't be listened on
+  result<void> start(handler Handler);
+
+  /// Answers a held request, from any thread. An unknown handle is ignored.
+  void respond(request_handle Request, http_response Response);
+
+  /// Stops taking new connections; those that are open go on.
+  void stopAccepting();
+
+  /// @returns how many requests wait for their answer or are being answered
+  std::size_t openRequests() const;
+
+private:
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace tarragonbridge
