Report response, queueing and target times in /metrics

Cause: only counters stood; response time is what the first users weigh. Change: the reducer asks for observations as effects (observe_time), the daemon sums them up by Boost.Accumulators and shows count, sum and quantiles. Ruled out: accumulators in the reducer's state, as its figures are copied after every batch of events.

--- a/include/tarragonbridge/event.h
+++ b/include/tarragonbridge/event.h
@@ -5,6 +5,7 @@
 #include "tarragonbridge/platform_events.h"
 #include "tarragonbridge/target_events.h"
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <variant>
@@ -26,11 +27,22 @@
   std::string Event;
   std::vector<std::pair<std::string, std::string>> Fields;
 };
+/// A time that is summed up for /metrics.
+enum class time_metric : std::uint8_t {
+  JobResponse,  ///< from submission at this host to the end of the job
+  TaskQueueing, ///< from queued to sent
+  TaskAtTarget, ///< from sent to the reply that ended it
+  Count
+};
+struct observe_time {
+  time_metric Metric = time_metric::JobResponse;
+  microseconds Value{};
+};
 /// Nothing is in flight any more and the process may end.
 struct shutdown_finished {};
 
 using effect = std::variant<answer_request,                      // callers
                             start_task, stop_task, renew_leases, // targets
-                            log_line, shutdown_finished>;
+                            log_line, observe_time, shutdown_finished>;
 
 } // namespace tarragonbridge
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -30,12 +30,14 @@
 }
 
 void onDone(dispatcher_state &State, job_record &Job, task_record &Task,
-            const target_reply &Reply, effects &Effects) {
+            const target_reply &Reply, instant Now, effects &Effects) {
+  Effects.emplace_back(
+      observe_time{time_metric::TaskAtTarget, Now.Boot - Task.StartedAt});
   Task.Phase = task_phase::Settled;
   Task.Output = Reply.Output;
   --Job.Unsettled;
   if (Job.Unsettled == 0) {
-    completeJob(State, Job, Effects);
+    completeJob(State, Job, Now, Effects);
   }
 }
 
@@ -51,6 +53,7 @@
   }
   setTimer(State, Target.FullUntil, timer_kind::Dispatch);
   Task.Phase = task_phase::Queued;
+  Task.QueuedAt = Now.Boot;
   enqueueTask(State, Job, Id.Task);
 }
 } // namespace
@@ -60,6 +63,9 @@
   task_record &Task = Job.Tasks[Index];
   ++Task.Attempts;
   Task.Phase = task_phase::Running;
+  Task.StartedAt = Now.Boot;
+  Effects.emplace_back(
+      observe_time{time_metric::TaskQueueing, Now.Boot - Task.QueuedAt});
   Task.Target = Target.Host.Name;
   const attempt_id Id{Job.Key, Index, Task.Attempts};
   Target.Running.insert(Id);
@@ -102,7 +108,7 @@
   const std::string Peer = Task->Target;
   switch (Event.Reply.Kind) {
   case reply_kind::Done:
-    onDone(State, Job, *Task, Event.Reply, Effects);
+    onDone(State, Job, *Task, Event.Reply, Now, Effects);
     break;
   case reply_kind::NotRun:
     onNotRun(State, Job, Event.Id, Event.Reply, Now);
@@ -112,14 +118,14 @@
     failJob(State, Job,
             {reason::TaskFailed, true, false, "run task", Peer,
              Event.Reply.Message},
-            Effects);
+            Now, Effects);
     break;
   case reply_kind::Unknown:
     Task->Phase = task_phase::Settled;
     failJob(State, Job,
             {reason::OutcomeUnknown, false, false, "run task", Peer,
              Event.Reply.Message},
-            Effects);
+            Now, Effects);
     break;
   }
   dispatchQueued(State, Now, Effects);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -29,6 +29,7 @@
   for (const task_request &Task : Request.Tasks) {
     Job.Tasks.push_back({});
     Job.Tasks.back().Request = Task;
+    Job.Tasks.back().QueuedAt = Now.Boot;
   }
   Job.Unsettled = Job.Tasks.size();
   return Job;
@@ -67,8 +68,10 @@
 }
 
 void endJob(dispatcher_state &State, job_record &Job, job_phase Phase,
-            effects &Effects) {
+            instant Now, effects &Effects) {
   Job.Phase = Phase;
+  Effects.emplace_back(
+      observe_time{time_metric::JobResponse, Now.Boot - Job.ReceivedAt});
   --State.RunningJobs;
   answerWaiters(Job, Effects);
   for (task_record &Task : Job.Tasks) {
@@ -151,14 +154,15 @@
   job_record &Job = Found->second;
   if (Job.Phase == job_phase::Running) {
     failJob(State, Job,
-            {reason::Cancelled, true, false, "cancel", "caller", ""}, Effects);
+            {reason::Cancelled, true, false, "cancel", "caller", ""}, Now,
+            Effects);
     dispatchQueued(State, Now, Effects);
   }
   Effects.emplace_back(answerJob(Job, Event.Request));
 }
 
 void failJob(dispatcher_state &State, job_record &Job, job_failure Failure,
-             effects &Effects) {
+             instant Now, effects &Effects) {
   bool AnyStarted = false;
   bool AnyOut = false;
   for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
@@ -180,15 +184,16 @@
   Job.Failure = std::move(Failure);
   State.Figures.Reasons.add(Job.Failure.Reason);
   ++State.Figures.JobsFailed;
-  endJob(State, Job, job_phase::Failed, Effects);
+  endJob(State, Job, job_phase::Failed, Now, Effects);
 }
 
-void completeJob(dispatcher_state &State, job_record &Job, effects &Effects) {
+void completeJob(dispatcher_state &State, job_record &Job, instant Now,
+                 effects &Effects) {
   ++State.Figures.JobsCompleted;
-  endJob(State, Job, job_phase::Complete, Effects);
+  endJob(State, Job, job_phase::Complete, Now, Effects);
 }
 
-void onDeadline(dispatcher_state &State, const std::string &Key,
+void onDeadline(dispatcher_state &State, const std::string &Key, instant Now,
                 effects &Effects) {
   const auto Found = State.Jobs.find(Key);
   if (Found == State.Jobs.end() || Found->second.Phase != job_phase::Running) {
@@ -197,7 +202,7 @@
   failJob(State, Found->second,
           {reason::DeadlineExceeded, true, false, "wait for tasks",
            State.Init.Self.Host, ""},
-          Effects);
+          Now, Effects);
 }
 
 void onWaitOver(dispatcher_state &State, const std::string &Key, instant Now,
--- a/src/core/jobs_p.h
+++ b/src/core/jobs_p.h
@@ -16,12 +16,13 @@
 
 /// Ends a job as failed: stops its attempts and answers its waiters.
 void failJob(dispatcher_state &State, job_record &Job, job_failure Failure,
-             effects &Effects);
+             instant Now, effects &Effects);
 
 /// Ends a job whose tasks have all given their output.
-void completeJob(dispatcher_state &State, job_record &Job, effects &Effects);
+void completeJob(dispatcher_state &State, job_record &Job, instant Now,
+                 effects &Effects);
 
-void onDeadline(dispatcher_state &State, const std::string &Key,
+void onDeadline(dispatcher_state &State, const std::string &Key, instant Now,
                 effects &Effects);
 void onWaitOver(dispatcher_state &State, const std::string &Key, instant Now,
                 effects &Effects);
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -39,7 +39,7 @@
                effects &Effects) {
   switch (Timer.Kind) {
   case timer_kind::Deadline:
-    onDeadline(State, Timer.Key, Effects);
+    onDeadline(State, Timer.Key, Now, Effects);
     dispatchQueued(State, Now, Effects);
     break;
   case timer_kind::Forget:
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -27,6 +27,8 @@
   std::uint32_t Refusals = 0; ///< attempts proved not run
   std::string Target;         ///< of the attempt that is out
   boot_time NotBefore;        ///< earliest next attempt
+  boot_time QueuedAt;
+  boot_time StartedAt; ///< of the attempt that is out
   std::string Output;
 };
 
@@ -56,6 +58,7 @@
   std::uint64_t Digest = 0;
   bool Repeatable = false;
   job_phase Phase = job_phase::Running;
+  boot_time ReceivedAt;
   boot_time Deadline;
   boot_time ForgetAt;
   std::vector<task_record> Tasks;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,8 +83,11 @@
     return true;
   }
   if (Request.Path == "/metrics") {
-    Server.respond(
-        Handle, {200, formatMetrics(Loop.currentFigures()), {}, "text/plain"});
+    Server.respond(Handle,
+                   {200,
+                    formatMetrics(Loop.currentFigures()) + Times.format(),
+                    {},
+                    "text/plain"});
     return true;
   }
   if (Request.Path == "/v1/status") {
@@ -127,6 +130,8 @@
     Targets.stop(*Stop);
   } else if (const auto *Renew = std::get_if<renew_leases>(&Effect)) {
     Targets.renew(*Renew);
+  } else if (const auto *Observation = std::get_if<observe_time>(&Effect)) {
+    Times.add(*Observation);
   } else if (const auto *Line = std::get_if<log_line>(&Effect)) {
     logEvent(Line->Event, Line->Fields);
   } else {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #include "daemon/daemon_config.h"
 #include "daemon/platform_watch.h"
 #include "daemon/target_calls.h"
+#include "daemon/time_summaries.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -35,6 +36,7 @@
   std::condition_variable Ready;
   bool Finished = false; ///< guarded by Mutex
   std::atomic<bool> ShuttingDown{false};
+  time_summaries Times;
   http_server Server;
   event_loop Loop; ///< outlives the clients, which post to it until they end
   http_client TargetClient;
