Answer /v1/status from the reducer's state

Cause: the figures alone can't tell which target or team is unwell. Change: status_requested is an event; the reducer lists targets, teams and reasons.

--- a/include/tarragonbridge/caller_events.h
+++ b/include/tarragonbridge/caller_events.h
@@ -27,6 +27,10 @@
   request_handle Request;
   std::string Key;
 };
+/// Asks how this host is.
+struct status_requested {
+  request_handle Request;
+};
 
 // Effects.
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -2,6 +2,7 @@
 #include "core/dispatch_p.h"
 #include "core/jobs_p.h"
 #include "core/state_p.h"
+#include "core/status_p.h"
 
 namespace tarragonbridge {
 
@@ -83,6 +84,9 @@
   void operator()(const job_cancelled &Event) const {
     onJobCancelled(State, Event, Now, Effects);
   }
+  void operator()(const status_requested &Event) const {
+    onStatusRequested(State, Event, Effects);
+  }
   void operator()(const task_replied &Event) const {
     onTaskReplied(State, Event, Now, Effects);
   }
--- /dev/null
+++ b/src/core/status.cpp
@@ -0,0 +1,63 @@
+#include "core/status_p.h"
+
+#include "core/json_text.h"
+
+namespace tarragonbridge {
+
+namespace {
+constexpr int StatusOk = 200;
+
+Json::Value describeTarget(const target_record &Target) {
+  Json::Value Row;
+  Row["name"] = Target.Host.Name;
+  Row["failure_domain"] = Target.Host.FailureDomain;
+  Row["state"] = Target.Host.State == host_state::Live ? "live" : "leaving";
+  Row["listed"] = Target.Listed;
+  Row["running_here"] = Json::UInt64(Target.Running.size());
+  Row["slots"] = Target.Host.Slots;
+  return Row;
+}
+
+Json::Value describeReasons(const reason_counters &Counters) {
+  Json::Value Reasons(Json::objectValue);
+  for (const reason_info &Info : reasonTable()) {
+    if (Counters.get(Info.Code) != 0) {
+      Reasons[std::string(Info.Name)] = Json::UInt64(Counters.get(Info.Code));
+    }
+  }
+  return Reasons;
+}
+
+void addTotals(const dispatcher_figures &Figures, Json::Value &Body) {
+  Body["settings_revision"] = Json::Int64(Figures.SettingsRevision);
+  Body["targets"] = Json::UInt64(Figures.Targets);
+  Body["tasks_queued"] = Json::UInt64(Figures.TasksQueued);
+  Body["tasks_running"] = Json::UInt64(Figures.TasksRunning);
+  Body["jobs_kept"] = Json::UInt64(Figures.JobsKept);
+  Body["jobs_completed"] = Json::UInt64(Figures.JobsCompleted);
+  Body["jobs_failed"] = Json::UInt64(Figures.JobsFailed);
+}
+} // namespace
+
+void onStatusRequested(dispatcher_state &State, const status_requested &Event,
+                       effects &Effects) {
+  Json::Value Body;
+  Body["host"] = State.Init.Self.Host;
+  Body["failure_domain"] = State.Init.Self.FailureDomain;
+  Body["incarnation"] = std::to_string(State.Init.Self.Incarnation);
+  Body["state"] = State.ShuttingDown ? "leaving" : "live";
+  addTotals(figures(State), Body);
+  Json::Value &Targets = Body["target_list"] = Json::Value(Json::arrayValue);
+  for (const auto &[Name, Target] : State.Targets) {
+    Targets.append(describeTarget(Target));
+  }
+  Json::Value &Teams = Body["teams"] = Json::Value(Json::arrayValue);
+  for (const auto &[Name, Settings] : State.Settings.Teams) {
+    Teams.append(Name);
+  }
+  Body["reasons"] = describeReasons(State.Figures.Reasons);
+  Effects.emplace_back(
+      answer_request{Event.Request, StatusOk, writeJson(Body), {}});
+}
+
+} // namespace tarragonbridge
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -47,6 +47,9 @@
   if (Path == "/v1/sessions" && Request.Method == "POST") {
     return event(session_requested{Handle});
   }
+  if (Path == "/v1/status" && Request.Method == "GET") {
+    return event(status_requested{Handle});
+  }
   if (Path == JobsPath && Request.Method == "POST") {
     return parseSubmission(Handle, Request);
   }
@@ -111,25 +114,4 @@
   return Text.str();
 }
 
-std::string formatStatus(const dispatcher_init &Init,
-                         const dispatcher_figures &Figures, bool ShuttingDown) {
-  Json::Value Body;
-  Body["host"] = Init.Self.Host;
-  Body["failure_domain"] = Init.Self.FailureDomain;
-  Body["state"] = ShuttingDown ? "leaving" : "live";
-  Body["settings_revision"] = Json::Int64(Figures.SettingsRevision);
-  Body["targets"] = Json::UInt64(Figures.Targets);
-  Body["tasks_queued"] = Json::UInt64(Figures.TasksQueued);
-  Body["tasks_running"] = Json::UInt64(Figures.TasksRunning);
-  Body["jobs_kept"] = Json::UInt64(Figures.JobsKept);
-  Json::Value &Reasons = Body["reasons"] = Json::Value(Json::objectValue);
-  for (const reason_info &Info : reasonTable()) {
-    if (Figures.Reasons.get(Info.Code) != 0) {
-      Reasons[std::string(Info.Name)] =
-          Json::UInt64(Figures.Reasons.get(Info.Code));
-    }
-  }
-  return writeJson(Body);
-}
-
 } // namespace tarragonbridge
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -21,8 +21,4 @@
 /// @returns the text of /metrics
 std::string formatMetrics(const dispatcher_figures &Figures);
 
-/// @returns the body of /v1/status
-std::string formatStatus(const dispatcher_init &Init,
-                         const dispatcher_figures &Figures, bool ShuttingDown);
-
 } // namespace tarragonbridge
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -90,14 +90,6 @@
                     "text/plain"});
     return true;
   }
-  if (Request.Path == "/v1/status") {
-    Server.respond(Handle,
-                   {200,
-                    formatStatus(Init, Loop.currentFigures(), ShuttingDown),
-                    {},
-                    "application/json"});
-    return true;
-  }
   return false;
 }
 
