Learn run times and give placement a module of its own

Cause: declared run times are off by up to ten times, and queue order needs an estimate; placement stood inside dispatch.cpp, which another part changes. Change: run_times keeps, for each team and class, the logarithm's mean and variance of the run time and of its ratio to the declared one, and predicts by the steadier of the two. chooseTarget moves unchanged to placement.cpp and now gets the job and task. Ruled out: the mean of plain times, which one straggler pulls away.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -33,6 +33,11 @@
 constexpr milliseconds RefusalBackoff{20};
 constexpr std::uint32_t MaxAttemptsPerTask = 5;
 
+// Learnt run times.
+constexpr double RunTimeMemoryTasks = 200; ///< finished tasks that weigh most
+constexpr std::size_t MinRunTimeSamples = 3;
+constexpr std::size_t MaxRunTimeClasses = 10'000;
+
 // Connections.
 constexpr unsigned MaxCallerConnections = 4'000;
 constexpr unsigned ServerThreads = 2;
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -1,36 +1,11 @@
 #include "core/dispatch_p.h"
 
 #include "core/attempts_p.h"
+#include "core/placement_p.h"
 
 namespace tarragonbridge {
 
 namespace {
-bool hasRoom(const target_record &Target, const resources &Needs, instant Now) {
-  return Target.Listed && Target.Host.State == host_state::Live &&
-         Target.FullUntil <= Now.Boot &&
-         Target.Running.size() < Target.Host.Slots &&
-         Needs.fitsIn(Target.Host.Capacity);
-}
-
-/// @returns the target with the smallest share of its slots in use, or nullptr
-target_record *chooseTarget(dispatcher_state &State, const resources &Needs,
-                            instant Now) {
-  target_record *Best = nullptr;
-  double BestLoad = 0;
-  for (auto &[Name, Target] : State.Targets) {
-    if (!hasRoom(Target, Needs, Now)) {
-      continue;
-    }
-    const double Load =
-        static_cast<double>(Target.Running.size()) / Target.Host.Slots;
-    if (Best == nullptr || Load < BestLoad) {
-      Best = &Target;
-      BestLoad = Load;
-    }
-  }
-  return Best;
-}
-
 bool isStillQueued(const dispatcher_state &State, const queue_entry &Entry) {
   const auto Found = State.Jobs.find(Entry.Key);
   return Found != State.Jobs.end() &&
@@ -49,7 +24,7 @@
     }
     job_record &Job = State.Jobs.at(Entry.Key);
     const task_record &Task = Job.Tasks[Entry.Task];
-    target_record *Target = chooseTarget(State, Task.Request.Needs, Now);
+    target_record *Target = chooseTarget(State, Job, Task, Now);
     if (Target == nullptr) {
       return;
     }
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tarragonbridge/dispatcher.h"
+#include "tarragonbridge/run_times.h"
 
 #include <deque>
 #include <map>
@@ -107,6 +108,7 @@
   bool LeaseTimerSet = false;
   bool ShuttingDown = false;
   bool ShutdownTold = false;
+  run_times RunTimes;
   std::mt19937_64 Random;
   dispatcher_figures Figures;
 };
