--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -15,6 +15,8 @@
     command{"job", "status", "tell how a job stands", showJob},
     command{"job", "cancel", "cancel a job", cancelJob},
     command{"status", "", "tell whether a host is well", showStatus},
+    command{"targets", "", "list the targets as a host sees them", showTargets},
+    command{"peers", "", "list the other entry hosts", showPeers},
     command{"version", "", "print the version", showVersion},
 };
 } // namespace
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -18,6 +18,7 @@
   BadArguments = 2, ///< nothing was sent
   Refused = 3,      ///< the host refused the request
   Unreachable = 4,  ///< no host answered
+  NotWell = 5,      ///< the host answered that something is wrong with it
 };
 
 using arguments = std::vector<std::string>;
