Queue by team with urgency, fairness, bounds and limits

Cause: the queues were served in the order of team names, so a burst of one team held up all that sort after it; there were no bounds in bytes, no bounds or limits for a team, and a failed job left its entries behind to be skipped.

Ruled out: strict priority (starves lower urgencies), round robin by task (ignores run times), lazy dropping of cancelled entries (a wave of cancelled jobs is paid for by the next start), token buckets in fractions of a token.

Change: team_queues orders teams by weighted virtual time (weight doubles with each step of urgency; idle or limited teams save up nothing; the charge is corrected by the run time used) and jobs of a team by arrival plus a multiple of their longest task. A cancelled job leaves in O(log n). team_limiter holds running tasks, rate of starts, cores, memory and accelerators; only the limit on running tasks is in the settings so far. A task that finds no target lets others pass. New reason team_queue_full.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -26,6 +26,8 @@
 // Queues.
 constexpr std::size_t MaxQueuedTasks = 100'000;
 constexpr std::size_t MaxQueuedBytes = 256U << 20U;
+/// A job's place in its team's queue: arrival + stretch * longest task.
+constexpr int QueueStretch = 4;
 
 // Attempts.
 constexpr milliseconds TaskLease{2'000};
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -27,6 +27,7 @@
   SubmittedTooOld,
   NeverFits,
   QueueFull,
+  TeamQueueFull,
   TooLate,
   Unauthorized,
   Forbidden,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -39,6 +39,22 @@
                      });
 }
 
+std::optional<reason> checkQueues(const dispatcher_state &State,
+                                  const job_request &Job) {
+  queue_size More{Job.Tasks.size(), 0};
+  for (const task_request &Task : Job.Tasks) {
+    More.Bytes += Task.Payload.size();
+  }
+  if (!State.Queues.hasRoom({config::MaxQueuedTasks, config::MaxQueuedBytes},
+                            More)) {
+    return reason::QueueFull;
+  }
+  if (!State.Queues.hasRoom(Job.Team, More)) {
+    return reason::TeamQueueFull;
+  }
+  return std::nullopt;
+}
+
 std::optional<reason> checkCapacity(const dispatcher_state &State,
                                     const job_request &Job, instant Now) {
   // With no target listed yet nothing is known about what fits.
@@ -50,8 +66,8 @@
   if (!AllFit) {
     return reason::NeverFits;
   }
-  if (State.QueuedTasks + Job.Tasks.size() > config::MaxQueuedTasks) {
-    return reason::QueueFull;
+  if (const auto Reason = checkQueues(State, Job)) {
+    return Reason;
   }
   if (Job.SubmittedAt + Job.TimeLimit <= Now.Wall) {
     return reason::TooLate;
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -9,10 +9,11 @@
 namespace {
 /// Forgets an attempt at its target.
 void releaseAttempt(dispatcher_state &State, const std::string &Name,
-                    const attempt_id &Id) {
+                    const attempt_id &Id, instant Now) {
   const auto Target = State.Targets.find(Name);
   if (Target != State.Targets.end() && Target->second.Running.erase(Id) != 0) {
     --State.RunningTasks;
+    releaseCharge(State, Id, Now);
   }
 }
 
@@ -54,7 +55,7 @@
   setTimer(State, Target.FullUntil, timer_kind::Dispatch);
   Task.Phase = task_phase::Queued;
   Task.QueuedAt = Now.Boot;
-  enqueueTask(State, Job, Id.Task);
+  enqueueTask(State, Job, Id.Task, Now);
 }
 } // namespace
 
@@ -69,7 +70,6 @@
   Task.Target = Target.Host.Name;
   const attempt_id Id{Job.Key, Index, Task.Attempts};
   Target.Running.insert(Id);
-  --State.QueuedTasks;
   ++State.RunningTasks;
   ++State.Figures.TasksStarted;
   if (!State.LeaseTimerSet) {
@@ -98,7 +98,7 @@
                    instant Now, effects &Effects) {
   ++State.Figures.TaskReplies;
   task_record *Task = findOpenTask(State, Event.Id);
-  releaseAttempt(State, Event.Target, Event.Id);
+  releaseAttempt(State, Event.Target, Event.Id, Now);
   if (Task == nullptr) {
     State.Figures.Reasons.add(reason::LateReply);
     dispatchQueued(State, Now, Effects);
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -2,54 +2,160 @@
 
 #include "core/attempts_p.h"
 #include "core/placement_p.h"
+#include "tarragonbridge/config.h"
+
+#include <algorithm>
 
 namespace tarragonbridge {
 
 namespace {
-bool isStillQueued(const dispatcher_state &State, const queue_entry &Entry) {
-  const auto Found = State.Jobs.find(Entry.Key);
-  return Found != State.Jobs.end() &&
-         Found->second.Phase == job_phase::Running &&
-         Found->second.Tasks[Entry.Task].Phase == task_phase::Queued;
-}
-
-/// Starts tasks of one team in order until one finds no target.
-void dispatchTeam(dispatcher_state &State, std::deque<queue_entry> &Queue,
-                  instant Now, effects &Effects) {
-  while (!Queue.empty()) {
-    const queue_entry Entry = Queue.front();
-    if (!isStillQueued(State, Entry)) {
-      Queue.pop_front();
-      continue;
+std::uint64_t payloadBytes(const job_record &Job) {
+  std::uint64_t Bytes = 0;
+  for (const task_record &Task : Job.Tasks) {
+    Bytes += Task.Request.Payload.size();
+  }
+  return Bytes;
+}
+
+/// @returns when the job is due for its turn: its arrival plus a multiple of
+/// the time that it is expected to take
+boot_time rankOf(const dispatcher_state &State, const job_record &Job,
+                 instant Now) {
+  milliseconds Longest{};
+  for (const task_record &Task : Job.Tasks) {
+    Longest = std::max(Longest, State.RunTimes.expected(Job.Team, Job.Class,
+                                                        Task.Request.Expected));
+  }
+  return Now.Boot + config::QueueStretch * Longest;
+}
+
+/// Needs of tasks that found no target in one pass.
+class unplaced_needs {
+public:
+  /// @returns whether a task with no larger needs found no target
+  bool covers(const resources &Needs) const {
+    return std::any_of(
+        Unplaced.begin(), Unplaced.end(),
+        [&](const resources &Other) { return Other.fitsIn(Needs); });
+  }
+  void add(const resources &Needs) { Unplaced.push_back(Needs); }
+
+private:
+  std::vector<resources> Unplaced;
+};
+
+/// Wakes the dispatcher when the team's rate of starts allows one more.
+void setRateTimer(dispatcher_state &State, team_record &Team, instant Now) {
+  const boot_time Next = Team.Limiter.nextStart();
+  if (Next == boot_time::max() || Team.WakeAt > Now.Boot) {
+    return;
+  }
+  Team.WakeAt = Next;
+  setTimer(State, Next, timer_kind::Dispatch);
+}
+
+team_limits limitsOf(const team_settings &Settings) {
+  team_limits Limits;
+  Limits.MaxRunningTasks = Settings.MaxRunningTasks;
+  return Limits;
+}
+
+/// One pass over the queues.
+struct dispatch_pass {
+  dispatcher_state &State;
+  instant Now;
+  effects &Effects;
+  unplaced_needs Unplaced;
+
+  offer_result operator()(const std::string &Key, std::uint32_t Index) {
+    job_record &Job = State.Jobs.at(Key);
+    task_record &Task = Job.Tasks[Index];
+    const resources &Needs = Task.Request.Needs;
+    team_record &Team = State.Teams[Job.Team];
+    if (const auto Limit = Team.Limiter.boundBy(Needs, Now.Boot)) {
+      return onBound(Team, *Limit);
+    }
+    if (Unplaced.covers(Needs)) {
+      return {offer_outcome::NoTarget};
     }
-    job_record &Job = State.Jobs.at(Entry.Key);
-    const task_record &Task = Job.Tasks[Entry.Task];
     target_record *Target = chooseTarget(State, Job, Task, Now);
     if (Target == nullptr) {
-      return;
+      onUnplaced(Task);
+      return {offer_outcome::NoTarget};
     }
-    Queue.pop_front();
-    startAttempt(State, Job, Entry.Task, *Target, Now, Effects);
+    return start(Job, Index, Team, *Target);
   }
-}
+
+private:
+  offer_result onBound(team_record &Team, limit_kind Limit) {
+    if (Limit == limit_kind::StartsPerSecond) {
+      setRateTimer(State, Team, Now);
+    }
+    const bool DependsOnTask = Limit != limit_kind::StartsPerSecond &&
+                               Limit != limit_kind::RunningTasks;
+    return {DependsOnTask ? offer_outcome::NoTarget : offer_outcome::TeamBound};
+  }
+
+  void onUnplaced(const task_record &Task) {
+    // A retried task may be kept from targets that others can use.
+    if (Task.Attempts == 0) {
+      Unplaced.add(Task.Request.Needs);
+    }
+  }
+
+  offer_result start(job_record &Job, std::uint32_t Index, team_record &Team,
+                     target_record &Target) {
+    task_record &Task = Job.Tasks[Index];
+    const microseconds Cost =
+        State.RunTimes.expected(Job.Team, Job.Class, Task.Request.Expected);
+    Task.Charge = {true, Now.Boot, Cost};
+    Team.Limiter.onStarted(Task.Request.Needs, Now.Boot);
+    startAttempt(State, Job, Index, Target, Now, Effects);
+    return {offer_outcome::Started, Cost, Task.Request.Payload.size()};
+  }
+};
 } // namespace
 
+void configureTeams(dispatcher_state &State) {
+  for (const auto &[Name, Settings] : State.Settings.Teams) {
+    const team_limits Limits = limitsOf(Settings);
+    State.Queues.configure(Name, Settings.Urgency,
+                           {Limits.MaxQueuedTasks, Limits.MaxQueuedBytes});
+    State.Teams[Name].Limiter.setShare(wholeShare(Limits));
+  }
+}
+
 void enqueueTask(dispatcher_state &State, const job_record &Job,
-                 std::uint32_t Task) {
-  State.Queues[Job.Team].push_back({Job.Key, Task});
-  ++State.QueuedTasks;
+                 std::uint32_t Task, instant Now) {
+  State.Queues.requeue({Job.Key, Job.Team, rankOf(State, Job, Now), 1,
+                        Job.Tasks[Task].Request.Payload.size()},
+                       Task);
 }
 
-void enqueueJob(dispatcher_state &State, const job_record &Job) {
-  for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task) {
-    enqueueTask(State, Job, Task);
-  }
+void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now) {
+  State.Queues.push({Job.Key, Job.Team, rankOf(State, Job, Now),
+                     static_cast<std::uint32_t>(Job.Tasks.size()),
+                     payloadBytes(Job)});
 }
 
 void dispatchQueued(dispatcher_state &State, instant Now, effects &Effects) {
-  for (auto &[Team, Queue] : State.Queues) {
-    dispatchTeam(State, Queue, Now, Effects);
+  State.Queues.serve(dispatch_pass{State, Now, Effects, {}});
+}
+
+void releaseCharge(dispatcher_state &State, const attempt_id &Id, instant Now) {
+  const auto Found = State.Jobs.find(Id.Key);
+  if (Found == State.Jobs.end()) {
+    return;
+  }
+  const job_record &Job = Found->second;
+  task_record &Task = Found->second.Tasks[Id.Task];
+  if (!Task.Charge.IsHeld || Task.Attempts != Id.Attempt) {
+    return;
   }
+  Task.Charge.IsHeld = false;
+  State.Teams[Job.Team].Limiter.onEnded(Task.Request.Needs);
+  State.Queues.settle(Job.Team, Task.Charge.Cost,
+                      Now.Boot - Task.Charge.StartedAt);
 }
 
 } // namespace tarragonbridge
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -123,7 +123,7 @@
   setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
   setTimer(State, Job.ForgetAt, timer_kind::Forget, Job.Key);
   answerOrHold(Job, Event, Effects);
-  enqueueJob(State, Job);
+  enqueueJob(State, Job, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -169,9 +169,6 @@
     task_record &Task = Job.Tasks[Index];
     AnyStarted = AnyStarted || Task.Attempts > Task.Refusals;
     AnyOut = AnyOut || Task.Phase == task_phase::Running;
-    if (Task.Phase == task_phase::Queued) {
-      --State.QueuedTasks;
-    }
     if (Task.Phase == task_phase::Running) {
       requestStop(State, Job, Index, Effects);
     }
@@ -180,6 +177,7 @@
   }
   Failure.NotRun = !AnyStarted;
   Failure.OutcomeKnown = Failure.OutcomeKnown && !AnyOut;
+  State.Queues.erase(Job.Key);
   Job.Unsettled = 0;
   Job.Failure = std::move(Failure);
   State.Figures.Reasons.add(Job.Failure.Reason);
--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -30,6 +30,8 @@
     {reason::NeverFits, Refusal, "never_fits", 422,
      "No target can ever run the job."},
     {reason::QueueFull, Refusal, "queue_full", 429, "The queue is full."},
+    {reason::TeamQueueFull, Refusal, "team_queue_full", 429,
+     "The queue of the team is full."},
     {reason::TooLate, Refusal, "too_late", 503,
      "The job would miss its deadline."},
     {reason::Unauthorized, Refusal, "unauthorized", 401,
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -33,6 +33,7 @@
     return;
   }
   State.Settings = Event.Settings;
+  configureTeams(State);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -124,6 +125,7 @@
   State->Init = Init;
   State->Settings = defaultSettings(Init.Self.FailureDomain);
   State->Random.seed(Init.RandomSeed);
+  configureTeams(*State);
   return State;
 }
 
@@ -150,7 +152,7 @@
 
 dispatcher_figures figures(const dispatcher_state &State) {
   dispatcher_figures Figures = State.Figures;
-  Figures.TasksQueued = State.QueuedTasks;
+  Figures.TasksQueued = State.Queues.size().Tasks;
   Figures.TasksRunning = State.RunningTasks;
   Figures.JobsKept = State.Jobs.size();
   Figures.Targets = State.Targets.size();
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -3,8 +3,9 @@
 
 #include "tarragonbridge/dispatcher.h"
 #include "tarragonbridge/run_times.h"
+#include "tarragonbridge/team_limits.h"
+#include "tarragonbridge/team_queues.h"
 
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -21,12 +22,20 @@
   Settled, ///< ended, or its outcome is unknown
 };
 
+/// What an attempt that is out holds of its team's limits and service.
+struct task_charge {
+  bool IsHeld = false;
+  boot_time StartedAt;
+  microseconds Cost{}; ///< expected run time
+};
+
 struct task_record {
   task_request Request;
   task_phase Phase = task_phase::Queued;
   std::uint32_t Attempts = 0; ///< attempts sent so far
   std::uint32_t Refusals = 0; ///< attempts proved not run
   std::string Target;         ///< of the attempt that is out
+  task_charge Charge;         ///< of the attempt that is out
   boot_time NotBefore;        ///< earliest next attempt
   boot_time QueuedAt;
   boot_time StartedAt; ///< of the attempt that is out
@@ -76,10 +85,10 @@
   boot_time FullUntil; ///< no start before this after a refusal
 };
 
-/// A queued task: job key and index.
-struct queue_entry {
-  std::string Key;
-  std::uint32_t Task = 0;
+/// Use of a team's limits by this host.
+struct team_record {
+  team_limiter Limiter;
+  boot_time WakeAt; ///< latest timer set for its rate of starts
 };
 
 /// What a timer is for.
@@ -102,9 +111,8 @@
   std::uint64_t NextSession = 1;
   std::unordered_map<std::string, job_record> Jobs;
   std::map<std::string, target_record, std::less<>> Targets;
-  std::map<std::string, std::deque<queue_entry>, std::less<>>
-      Queues; ///< by team
-  std::size_t QueuedTasks = 0;
+  std::map<std::string, team_record, std::less<>> Teams;
+  team_queues Queues;
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
   std::multimap<boot_time, timer> Timers;
--- /dev/null
+++ b/tests/unit/dispatch_test.cpp
@@ -0,0 +1,68 @@
+#include "dispatcher_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+
+namespace {
+constexpr resources Large{16, 1000, 0};
+
+// Numbers of jobs.
+constexpr int Burst = 1;
+constexpr int Small = 2;
+constexpr int Limited = 3;
+constexpr int Free = 4;
+constexpr int Wide = 5;
+constexpr int Narrow = 6;
+
+struct dispatch_fixture : dispatcher_fixture {
+  dispatch_fixture() {
+    loadTeams({{"a", {}}, {"b", {}}});
+    listTargets(2, 4, Large);
+  }
+
+  /// @returns tasks of the job among the started ones up to an index
+  std::size_t countFinished(int Number, std::size_t Last) const {
+    std::size_t Count = 0;
+    for (std::size_t Index = 0; Index <= Last; ++Index) {
+      Count += Started[Index].Id.Key == keyOf(Number) ? 1 : 0;
+    }
+    return Count;
+  }
+};
+} // namespace
+
+TEST_CASE_METHOD(dispatch_fixture, "a burst of one team delays itself") {
+  apply(job(Burst, "a", 900));
+  CHECK(Started.size() == 8);
+  apply(job(Small, "b", 2));
+  advance(milliseconds(200));
+  for (std::size_t Index = 0; Index < 4; ++Index) {
+    finish(start_task(Started[Index]));
+  }
+  CHECK(countStarted(Small) == 2);
+}
+
+TEST_CASE_METHOD(dispatch_fixture,
+                 "running tasks stay under the team's limit") {
+  team_settings Settings;
+  Settings.MaxRunningTasks = 3;
+  loadTeams({{"a", Settings}, {"b", {}}});
+  apply(job(Limited, "a", 10));
+  apply(job(Free, "b", 10));
+  CHECK(countStarted(Limited) == 3);
+  CHECK(countStarted(Free) == 5);
+  for (std::size_t Index = 0; Index < Started.size(); ++Index) {
+    advance(milliseconds(200));
+    finish(start_task(Started[Index]));
+    CHECK(countStarted(Limited) - countFinished(Limited, Index) <= 3);
+  }
+  CHECK(Started.size() == 20);
+}
+
+TEST_CASE_METHOD(dispatch_fixture, "a task that fits nowhere now is passed") {
+  apply(job(Wide, "a", 4, {16, 0, 0}));
+  apply(job(Narrow, "a", 1));
+  CHECK(countStarted(Wide) >= 2);
+  CHECK(countStarted(Narrow) == 1);
+}
