Drive libcurl by epoll instead of polling every held call

Cause: curl_multi_perform looks at every held call at each wake; most calls are held for the length of a task. Ruled out: more client threads (later, if a host needs more than one core). Change: socket and timer callbacks with epoll and an eventfd. Conclusion: kept, as the cost no longer grows with the calls that only wait.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,20 +1,27 @@
 #include "net/http_client.h"
 
+#include "base/clock.h"
 #include "base/thread.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <curl/curl.h>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <strings.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace tarragonbridge {
 
 namespace {
-constexpr int PollMilliseconds = 1'000;
+constexpr std::chrono::milliseconds PollInterval{1'000};
+constexpr std::size_t MaxSocketEvents = 256;
 constexpr std::size_t MaxAnswerBytes = 64U << 20U;
 
 /// A call under way.
@@ -145,19 +152,95 @@
 
 struct http_client::impl {
   CURLM *Multi = curl_multi_init();
+  int Epoll = epoll_create1(EPOLL_CLOEXEC);
+  int Wakeup = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
   std::mutex Mutex;
   std::vector<std::unique_ptr<transfer>> Incoming; ///< guarded by Mutex
   std::atomic<bool> Stopping{false};
+  std::optional<boot_time> TimerDue; ///< when libcurl wants to be called
   std::vector<CURL *> Idle;
   std::unordered_map<CURL *, std::unique_ptr<transfer>> Active;
   posix_thread Thread;
 
   void run();
+  void wake() const;
   void takeIncoming();
+  void waitForSockets();
   void finishTransfers();
   void finish(CURL *Easy, CURLcode Code);
+
+  static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *Cls,
+                      void *IsWatched);
+  static int onTimer(CURLM *Multi, long Delay, void *Cls);
 };
 
+/// Watches a socket for what libcurl waits for.
+int http_client::impl::onSocket(CURL * /*Easy*/, curl_socket_t Socket, int What,
+                                void *Cls, void *IsWatched) {
+  auto &Self = *static_cast<impl *>(Cls);
+  if (What == CURL_POLL_REMOVE) {
+    epoll_ctl(Self.Epoll, EPOLL_CTL_DEL, Socket, nullptr);
+    return 0;
+  }
+  epoll_event Event{};
+  Event.data.fd = Socket;
+  Event.events = ((What & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) |
+                 ((What & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+  const int Operation = IsWatched == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+  epoll_ctl(Self.Epoll, Operation, Socket, &Event);
+  curl_multi_assign(Self.Multi, Socket, Cls);
+  return 0;
+}
+
+int http_client::impl::onTimer(CURLM * /*Multi*/, long Delay, void *Cls) {
+  auto &Self = *static_cast<impl *>(Cls);
+  Self.TimerDue.reset();
+  if (Delay >= 0) {
+    Self.TimerDue = bootNow() + std::chrono::milliseconds(Delay);
+  }
+  return 0;
+}
+
+void http_client::impl::wake() const {
+  const std::uint64_t One = 1;
+  // A full counter wakes the thread as well, so a failed write is no loss.
+  [[maybe_unused]] const ssize_t Written = write(Wakeup, &One, sizeof One);
+}
+
+/// Waits for sockets, a new call or libcurl's timer, and lets libcurl act on
+/// them.
+void http_client::impl::waitForSockets() {
+  std::chrono::milliseconds Wait = PollInterval;
+  if (TimerDue) {
+    const auto Left =
+        std::chrono::ceil<std::chrono::milliseconds>(*TimerDue - bootNow());
+    Wait = std::clamp(Left, std::chrono::milliseconds::zero(), PollInterval);
+  }
+  std::array<epoll_event, MaxSocketEvents> Events{};
+  const int Count =
+      epoll_wait(Epoll, Events.data(), static_cast<int>(Events.size()),
+                 static_cast<int>(Wait.count()));
+  int Running = 0;
+  for (int Index = 0; Index < Count; ++Index) {
+    const epoll_event &Event = Events.at(static_cast<std::size_t>(Index));
+    if (Event.data.fd == Wakeup) {
+      std::uint64_t Ignored = 0;
+      [[maybe_unused]] const ssize_t Read =
+          read(Wakeup, &Ignored, sizeof Ignored);
+      continue;
+    }
+    const int Flags =
+        ((Event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+        ((Event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+        ((Event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+    curl_multi_socket_action(Multi, Event.data.fd, Flags, &Running);
+  }
+  if (TimerDue && *TimerDue <= bootNow()) {
+    TimerDue.reset();
+    curl_multi_socket_action(Multi, CURL_SOCKET_TIMEOUT, 0, &Running);
+  }
+}
+
 void http_client::impl::takeIncoming() {
   std::vector<std::unique_ptr<transfer>> Batch;
   {
@@ -208,10 +291,8 @@
 void http_client::impl::run() {
   while (!Stopping) {
     takeIncoming();
-    int Running = 0;
-    curl_multi_perform(Multi, &Running);
+    waitForSockets();
     finishTransfers();
-    curl_multi_poll(Multi, nullptr, 0, PollMilliseconds, nullptr);
   }
   while (!Active.empty()) {
     finish(Active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
@@ -223,20 +304,31 @@
   static std::once_flag InitOnce;
   std::call_once(InitOnce, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
   constexpr long MaxKeptConnections = 4'000;
-  curl_multi_setopt(Impl->Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+  CURLM *Multi = Impl->Multi;
+  curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                     MaxConnectionsPerHost);
-  curl_multi_setopt(Impl->Multi, CURLMOPT_MAXCONNECTS, MaxKeptConnections);
+  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxKeptConnections);
+  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &impl::onSocket);
+  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, Impl.get());
+  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &impl::onTimer);
+  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, Impl.get());
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.fd = Impl->Wakeup;
+  epoll_ctl(Impl->Epoll, EPOLL_CTL_ADD, Impl->Wakeup, &Event);
   Impl->Thread = posix_thread("http-client", [this] { Impl->run(); });
 }
 
 http_client::~http_client() {
   Impl->Stopping = true;
-  curl_multi_wakeup(Impl->Multi);
+  Impl->wake();
   Impl->Thread.join();
   for (CURL *Easy : Impl->Idle) {
     curl_easy_cleanup(Easy);
   }
   curl_multi_cleanup(Impl->Multi);
+  close(Impl->Epoll);
+  close(Impl->Wakeup);
 }
 
 void http_client::send(http_call Call, completion Done) {
@@ -245,7 +337,7 @@
     Impl->Incoming.push_back(
         std::make_unique<transfer>(std::move(Call), std::move(Done)));
   }
-  curl_multi_wakeup(Impl->Multi);
+  Impl->wake();
 }
 
 http_result sendAndWait(http_client &Client, http_call Call) {
