--- a/tests/integration/thin_path.sh
+++ b/tests/integration/thin_path.sh
@@ -13,7 +13,7 @@
 trap cleanup EXIT
 fail() { echo "FAILED: $*"; cat "$work"/*.log; exit 1; }
 
-port=$((20000 + $$ % 20000))
+port=$((20000 + $$ % 12000)) # below the range of ephemeral ports
 store=127.0.0.1:$port host=127.0.0.1:$((port + 1))
 start() { "$@" 2>>"$work/$(basename "$1").log" & pids+=($!); }
 await() { for _ in $(seq 300); do curl -s -o /dev/null "$1" && return; sleep 0.05; done; fail "no answer from $1"; }
