Write to the store by transaction and follow it by watch

Cause: the client could only read a prefix; settings and views need compare-and-swap, and polling whole prefixes costs too much at size.

Change: store_client has get, txn and watch beside range. A budget of 10 calls a second with a burst of 30 is shared by its copies; endpoints are used in turn; no call is repeated by the client. An error tells whether a write is proved to have had no effect (store_unreachable) or may have one (store_outcome_unknown). A watch ends when nothing was heard for 3 s. The HTTP client passes parts of an answer on and can end a call; the HTTP server can stream an answer. The store stand-in has watches, revisions, compaction and faults to order (down, slow, lost and late writes, cut and silent watches, restore).

Ruled out: repeating a write inside the client (its first copy may take effect later, so only the caller can settle it); reading an error status as proof of no effect (the members may yet agree on the write).

Conclusion: the view documents and the operator API can be built on txn.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -49,6 +49,12 @@
 // The platform's store.
 constexpr milliseconds StoreTimeout{3'000};
 constexpr milliseconds StorePollInterval{1'000};
+constexpr double StoreCallsPerSecond = 10; ///< budget of one host
+constexpr double StoreCallBurst = 30;      ///< calls
+constexpr milliseconds StoreBackoffFirst{100};
+constexpr milliseconds StoreBackoffMost{3'000};
+constexpr milliseconds WatchSilence{3'000}; ///< renewed when silent for longer
+constexpr std::size_t MaxWatchLineBytes = 64U << 20U;
 
 // Shutdown.
 constexpr milliseconds MaxShutdownTime{60'000};
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -32,6 +32,9 @@
   Forbidden,
   HomeUnreachable,
   ShuttingDown,
+  StoreUnreachable,
+  StoreOutcomeUnknown,
+  StoreBudgetSpent,
   // Failures of jobs.
   TaskFailed,
   OutcomeUnknown,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -57,6 +57,10 @@
 std::size_t writeBody(char *Data, std::size_t Size, std::size_t Count,
                       void *Cls) {
   auto &Transfer = *static_cast<transfer *>(Cls);
+  if (Transfer.Call.OnPart) {
+    Transfer.Call.OnPart({Data, Size * Count});
+    return Size * Count;
+  }
   if (Transfer.Result.Body.size() + Size * Count > MaxAnswerBytes) {
     return 0;
   }
@@ -83,6 +87,11 @@
   return Size * Count;
 }
 
+int checkProgress(void *Cls, curl_off_t /*DownTotal*/, curl_off_t /*Down*/,
+                  curl_off_t /*UpTotal*/, curl_off_t /*Up*/) {
+  return static_cast<transfer *>(Cls)->Call.KeepGoing() ? 0 : 1;
+}
+
 void addHeaders(CURL *Easy, transfer &Transfer) {
   Transfer.Headers =
       curl_slist_append(Transfer.Headers, "Content-Type: application/json");
@@ -129,6 +138,11 @@
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Transfer);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, readHeader);
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Transfer);
+  if (Transfer.Call.KeepGoing) {
+    curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, checkProgress);
+    curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, &Transfer);
+    curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
+  }
   addHeaders(Easy, Transfer);
   addBody(Easy, Transfer);
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tarragonbridge {
@@ -17,6 +18,10 @@
   std::vector<std::string> Headers; ///< whole lines, "Name: value"
   std::chrono::milliseconds ConnectTimeout = config::ConnectTimeout;
   std::chrono::milliseconds Timeout = config::StoreTimeout;
+  /// Takes each part of the answer as it arrives; the result has no body then.
+  std::function<void(std::string_view)> OnPart;
+  /// Asked about once a second; false ends the call without a result.
+  std::function<bool()> KeepGoing;
 };
 
 struct http_result {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -28,6 +28,11 @@
   std::optional<http_response> Response;
   int EarlyStatus = 0; ///< set when the body is refused while it is read
   bool Delivered = false;
+  bool IsStream = false;
+  bool StreamEnded = false;
+  bool IsWaiting = false; ///< suspended until the stream has more
+  std::string Pending;    ///< part of the stream that was not sent yet
+  std::mutex *Mutex = nullptr;
 };
 
 std::string lowerCase(std::string_view Text) {
@@ -84,6 +89,45 @@
   return Queued;
 }
 
+/// Gives the library the next part of a stream.
+ssize_t readStream(void *Cls, std::uint64_t /*Position*/, char *Buffer,
+                   std::size_t Size) {
+  auto &Exchange = *static_cast<exchange *>(Cls);
+  const std::lock_guard Lock(*Exchange.Mutex);
+  if (!Exchange.Pending.empty()) {
+    const std::size_t Count = Exchange.Pending.copy(Buffer, Size);
+    Exchange.Pending.erase(0, Count);
+    return static_cast<ssize_t>(Count);
+  }
+  if (Exchange.StreamEnded) {
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  }
+  Exchange.IsWaiting = true;
+  MHD_suspend_connection(Exchange.Connection);
+  return 0;
+}
+
+MHD_Result queueStream(exchange &Exchange) {
+  constexpr std::size_t BlockBytes = 4096;
+  MHD_Response *Response = MHD_create_response_from_callback(
+      MHD_SIZE_UNKNOWN, BlockBytes, readStream, &Exchange, nullptr);
+  MHD_add_response_header(Response, "Content-Type",
+                          Exchange.Response->ContentType.c_str());
+  const MHD_Result Queued = MHD_queue_response(
+      Exchange.Connection, static_cast<unsigned>(Exchange.Response->Status),
+      Response);
+  MHD_destroy_response(Response);
+  return Queued;
+}
+
+/// Lets a connection that waits for more of its stream go on.
+void wakeStream(exchange &Exchange) {
+  if (Exchange.IsWaiting) {
+    Exchange.IsWaiting = false;
+    MHD_resume_connection(Exchange.Connection);
+  }
+}
+
 http_response earlyRefusal(int Status) {
   const std::string Reason =
       Status == StatusTooLarge ? "too_large" : "malformed";
@@ -128,6 +172,7 @@
   auto *Exchange = new exchange; // freed in onCompleted
   Exchange->Connection = Connection;
   Exchange->Handle = request_handle(NextHandle++);
+  Exchange->Mutex = &Mutex;
   Exchange->StartedAt = bootNow();
   Exchange->Request.Method = Method;
   Exchange->Request.Path = Path;
@@ -179,7 +224,9 @@
   if (!Exchange.Response) {
     return MHD_YES;
   }
-  return queueResponse(Exchange.Connection, *Exchange.Response);
+  return Exchange.IsStream
+             ? queueStream(Exchange)
+             : queueResponse(Exchange.Connection, *Exchange.Response);
 }
 
 MHD_Result http_server::impl::onAccess(void *Cls, MHD_Connection *Connection,
@@ -274,6 +321,8 @@
         Exchange->Response = http_response{503, "", {}, "application/json"};
         MHD_resume_connection(Exchange->Connection);
       }
+      Exchange->StreamEnded = true;
+      wakeStream(*Exchange);
     }
   }
   MHD_stop_daemon(Impl->Daemon);
@@ -289,6 +338,39 @@
   MHD_resume_connection(Found->second->Connection);
 }
 
+void http_server::beginStream(request_handle Request, http_response Head) {
+  const std::lock_guard Lock(Impl->Mutex);
+  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
+  if (Found == Impl->Held.end() || Found->second->Response) {
+    return;
+  }
+  exchange &Exchange = *Found->second;
+  Exchange.IsStream = true;
+  Exchange.Pending = std::move(Head.Body);
+  Exchange.Response = std::move(Head);
+  MHD_resume_connection(Exchange.Connection);
+}
+
+bool http_server::writeStream(request_handle Request, std::string_view Part) {
+  const std::lock_guard Lock(Impl->Mutex);
+  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
+  if (Found == Impl->Held.end()) {
+    return false;
+  }
+  Found->second->Pending += Part;
+  wakeStream(*Found->second);
+  return true;
+}
+
+void http_server::endStream(request_handle Request) {
+  const std::lock_guard Lock(Impl->Mutex);
+  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
+  if (Found != Impl->Held.end()) {
+    Found->second->StreamEnded = true;
+    wakeStream(*Found->second);
+  }
+}
+
 void http_server::stopAccepting() {
   const MHD_socket Socket = MHD_quiesce_daemon(Impl->Daemon);
   if (Socket != MHD_INVALID_SOCKET) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tarragonbridge {
@@ -64,6 +65,17 @@
   /// Answers a held request, from any thread. An unknown handle is ignored.
   void respond(request_handle Request, http_response Response);
 
+  /// Begins an answer of unknown length to a held request; the body of the
+  /// response is its first part.
+  void beginStream(request_handle Request, http_response Head);
+
+  /// Adds to an answer begun by beginStream. @returns false when its request
+  /// is gone
+  bool writeStream(request_handle Request, std::string_view Part);
+
+  /// Ends an answer begun by beginStream.
+  void endStream(request_handle Request);
+
   /// Stops taking new connections; those that are open go on.
   void stopAccepting();
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,87 +1,158 @@
 #include "platform/store_client.h"
 
-#include "base/codec.h"
-#include "core/json_reader.h"
+#include "base/clock.h"
+#include "platform/call_budget.h"
+#include "platform/watch_stream_p.h"
+#include "tarragonbridge/config.h"
 
-#include <charconv>
+#include <mutex>
 
 namespace tarragonbridge {
 
 namespace {
 constexpr int StatusOk = 200;
+/// Bound of a watch that goes on hearing from the store.
+constexpr std::chrono::hours MaxWatchTime{1};
+} // namespace
+
+struct store_client::shared_state {
+  std::vector<std::string> Addresses;
+  std::mutex Mutex;
+  std::size_t Current = 0; ///< guarded by Mutex
+  call_budget Budget{config::StoreCallsPerSecond,
+                     config::StoreCallBurst}; ///< guarded by Mutex
+  store_counters Counters;                    ///< guarded by Mutex
+};
 
-/// @returns the first key after all keys with the prefix
-std::string endOfPrefix(std::string_view Prefix) {
-  std::string End(Prefix);
-  End.back() = static_cast<char>(End.back() + 1);
-  return End;
+store_client::store_client(http_client &Client,
+                           std::vector<std::string> Addresses)
+    : Client(Client), Shared(std::make_shared<shared_state>()) {
+  Shared->Addresses = std::move(Addresses);
 }
 
-/// Reads a 64-bit number, which the API writes as a string.
-std::int64_t readNumber(const Json::Value &Value) {
-  if (Value.isInt64()) {
-    return Value.asInt64();
+store_counters store_client::counters() const {
+  const std::lock_guard Lock(Shared->Mutex);
+  return Shared->Counters;
+}
+
+result<std::string> store_client::beginCall(std::string_view Step) const {
+  const std::lock_guard Lock(Shared->Mutex);
+  const std::string &Address = Shared->Addresses.at(Shared->Current);
+  if (!Shared->Budget.take(bootNow())) {
+    ++Shared->Counters.OverBudget;
+    return boost::leaf::new_error(
+        error{std::string(Step), Address, reason::StoreBudgetSpent,
+              "the budget of calls to the store is spent"});
   }
-  const std::string Text = Value.isString() ? Value.asString() : "";
-  std::int64_t Number = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
-  return Number;
+  ++Shared->Counters.Calls;
+  return Address;
 }
 
-bool readEntry(const Json::Value &Value, store_entry &Entry) {
-  if (!Value.isObject() || !Value["key"].isString()) {
-    return false;
+boost::leaf::error_id store_client::fail(std::string_view Step,
+                                         const std::string &Address,
+                                         reason Reason,
+                                         const http_result &Answer) const {
+  {
+    const std::lock_guard Lock(Shared->Mutex);
+    ++Shared->Counters.Failures;
+    const std::vector<std::string> &Addresses = Shared->Addresses;
+    // Another call may have turned away from this endpoint already.
+    if (Addresses.at(Shared->Current) == Address) {
+      Shared->Current = (Shared->Current + 1) % Addresses.size();
+    }
   }
-  const auto Key = decodeBase64(Value["key"].asString());
-  const auto Content =
-      decodeBase64(Value["value"].isString() ? Value["value"].asString() : "");
-  if (!Key || !Content) {
-    return false;
+  const std::string Message = Answer.Status == 0
+                                  ? Answer.Error
+                                  : "status " + std::to_string(Answer.Status);
+  return boost::leaf::new_error(
+      error{std::string(Step), Address, Reason, Message});
+}
+
+result<std::string> store_client::call(std::string_view Step,
+                                       std::string_view Path, std::string Body,
+                                       bool IsWrite) const {
+  BOOST_LEAF_AUTO(Address, beginCall(Step));
+  http_call Call;
+  Call.Url = "http://" + Address + std::string(Path);
+  Call.Body = std::move(Body);
+  http_result Answer = sendAndWait(Client, std::move(Call));
+  if (Answer.Status == StatusOk) {
+    return std::move(Answer.Body);
   }
-  Entry = {*Key, *Content, readNumber(Value["mod_revision"]),
-           readNumber(Value["version"])};
-  return true;
+  // An error status proves nothing: the store answers so as well when it lost
+  // sight of a write that its members may yet agree on.
+  const bool MayHaveEffect = IsWrite && Answer.WasSent;
+  return fail(Step, Address,
+              MayHaveEffect ? reason::StoreOutcomeUnknown
+                            : reason::StoreUnreachable,
+              Answer);
 }
 
-bool readRange(std::string_view Body, store_range &Range) {
-  const json_document Document(Body, json_comments::Refused);
-  const Json::Value &Root = Document.root();
-  if (!Document.isValid() || !Root.isObject() || !Root["header"].isObject()) {
-    return false;
+result<store_range> store_client::range(std::string_view Prefix) const {
+  constexpr std::string_view Step = "read store";
+  BOOST_LEAF_AUTO(Body, call(Step, "/v3/kv/range",
+                             formatRange(Prefix, endOfPrefix(Prefix)), false));
+  if (auto Range = parseRange(Body)) {
+    return std::move(*Range);
   }
-  Range.Revision = readNumber(Root["header"]["revision"]);
-  for (const Json::Value &Value : Root["kvs"]) {
-    store_entry Entry;
-    if (!readEntry(Value, Entry)) {
-      return false;
-    }
-    Range.Entries.push_back(std::move(Entry));
+  return boost::leaf::new_error(error{std::string(Step), "store",
+                                      reason::StoreUnreachable,
+                                      "the answer is not well formed"});
+}
+
+result<store_range> store_client::get(std::string_view Key) const {
+  constexpr std::string_view Step = "read store";
+  BOOST_LEAF_AUTO(Body,
+                  call(Step, "/v3/kv/range", formatRange(Key, ""), false));
+  if (auto Range = parseRange(Body)) {
+    return std::move(*Range);
   }
-  return true;
+  return boost::leaf::new_error(error{std::string(Step), "store",
+                                      reason::StoreUnreachable,
+                                      "the answer is not well formed"});
 }
-} // namespace
 
-store_client::store_client(http_client &Client,
-                           std::vector<std::string> Addresses)
-    : Client(Client), Addresses(std::move(Addresses)) {}
+result<store_outcome>
+store_client::txn(const store_transaction &Transaction) const {
+  constexpr std::string_view Step = "write store";
+  BOOST_LEAF_AUTO(
+      Body, call(Step, "/v3/kv/txn", formatTransaction(Transaction), true));
+  if (auto Outcome = parseOutcome(Body)) {
+    return std::move(*Outcome);
+  }
+  return boost::leaf::new_error(error{std::string(Step), "store",
+                                      reason::StoreOutcomeUnknown,
+                                      "the answer is not well formed"});
+}
 
-result<store_range> store_client::range(std::string_view Prefix) {
-  const std::string &Address = Addresses.at(Current);
+result<void> store_client::watch(std::string_view Prefix, std::int64_t Start,
+                                 watch_handler Handler,
+                                 std::function<bool()> KeepGoing) const {
+  constexpr std::string_view Step = "watch store";
+  BOOST_LEAF_AUTO(Address, beginCall(Step));
+  watch_stream Stream(std::move(Handler), bootNow());
   http_call Call;
-  Call.Url = "http://" + Address + "/v3/kv/range";
-  Call.Body = R"({"key":")" + encodeBase64(Prefix) + R"(","range_end":")" +
-              encodeBase64(endOfPrefix(Prefix)) + R"("})";
+  Call.Url = "http://" + Address + "/v3/watch";
+  Call.Body = formatWatch(Prefix, Start);
+  Call.Timeout = MaxWatchTime;
+  Call.OnPart = [&](std::string_view Part) { Stream.add(Part, bootNow()); };
+  Call.KeepGoing = [&] {
+    return KeepGoing() && Stream.isOpen() && !Stream.isSilent(bootNow());
+  };
   const http_result Answer = sendAndWait(Client, std::move(Call));
-  store_range Range;
-  if (Answer.Status == StatusOk && readRange(Answer.Body, Range)) {
-    return Range;
+  const std::lock_guard Lock(Shared->Mutex);
+  ++Shared->Counters.WatchesOpened;
+  if (Stream.isOpen() && Stream.isSilent(bootNow())) {
+    ++Shared->Counters.WatchesSilent;
   }
-  Current = (Current + 1) % Addresses.size();
-  const std::string Message = Answer.Status == 0
-                                  ? Answer.Error
-                                  : "status " + std::to_string(Answer.Status);
-  return boost::leaf::new_error(
-      error{"read store", Address, reason::HomeUnreachable, Message});
+  if (Stream.wasCreated()) {
+    return {};
+  }
+  ++Shared->Counters.Failures;
+  Shared->Current = (Shared->Current + 1) % Shared->Addresses.size();
+  return boost::leaf::new_error(error{std::string(Step), Address,
+                                      reason::StoreUnreachable,
+                                      "the watch was not opened"});
 }
 
 } // namespace tarragonbridge
--- a/tools/standins/store_standin.cpp
+++ b/tools/standins/store_standin.cpp
@@ -1,196 +1,283 @@
-/// Stand-in for the platform's store: a subset of the etcd v3 JSON API.
-#include "base/codec.h"
+/// Stand-in for the platform's store: a subset of the etcd v3 JSON API, with
+/// faults to order.
+///
+/// POST /admin/faults takes any of `down` (every call fails with 503 and does
+/// nothing, open watches end), `slow_ms` (every answer is late by this),
+/// `lose_writes` (so many of the next writes take effect and are not answered)
+/// and `late_writes_ms` (writes take effect only after this, and are not
+/// answered). POST /admin/cut_watches ends the open watches,
+/// /admin/silence_watches keeps them open without a word, /admin/restore
+/// `{"revision":N}` goes back to an earlier state. GET /admin/calls counts the
+/// calls by path.
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/signals.h"
+#include "base/thread.h"
 #include "core/json_reader.h"
 #include "core/json_text.h"
 #include "net/http_server.h"
+#include "standins/key_space.h"
 
+#include <condition_variable>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <mutex>
 #include <tclap/CmdLine.h>
 
 using namespace tarragonbridge;
+using standins::key_range;
+using standins::key_space;
 
 namespace {
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+constexpr milliseconds ProgressInterval{1'000};
 
-struct stored_value {
-  std::string Value;
-  std::int64_t CreateRevision = 0;
-  std::int64_t ModRevision = 0;
-  std::int64_t Version = 0;
+struct faults {
+  bool Down = false;
+  milliseconds Slow{};
+  std::uint32_t LoseWrites = 0;
+  milliseconds LateWrites{};
 };
 
-std::string decodeField(const Json::Value &Object, const char *Name) {
-  return decodeBase64(Object.get(Name, "").asString()).value_or("");
+/// An open watch.
+struct watch {
+  key_range Range;
+  std::int64_t Next = 0; ///< first revision that was not told yet
+  bool Progress = false;
+  bool Silent = false;
+};
+
+http_response jsonResponse(const Json::Value &Body) {
+  return {200, writeJson(Body), {}, "application/json"};
+}
+
+http_response errorResponse(int Status, const std::string &Message) {
+  return {Status,
+          R"({"error":)" + quoteJson(Message) + "}",
+          {},
+          "application/json"};
 }
 
-/// The keys, with the revisions of the published API.
-class key_space {
+using operation = Json::Value (key_space::*)(const Json::Value &);
+const std::map<std::string, operation, std::less<>> Writes{
+    {"/v3/kv/put", &key_space::put},
+    {"/v3/kv/deleterange", &key_space::deleteRange},
+    {"/v3/kv/txn", &key_space::transact},
+    {"/v3/kv/compaction", &key_space::compact},
+};
+
+class store_standin {
 public:
-  Json::Value range(const Json::Value &Request) const {
-    const std::string Key = decodeField(Request, "key");
-    const std::string End = decodeField(Request, "range_end");
-    Json::Value Answer;
-    Answer["header"] = header();
-    Json::Value &Values = Answer["kvs"] = Json::Value(Json::arrayValue);
-    for (auto At = Stored.lower_bound(Key); At != Stored.end(); ++At) {
-      const bool IsInside = End.empty() ? At->first == Key : At->first < End;
-      if (!IsInside) {
-        break;
-      }
-      Values.append(describeEntry(At->first, At->second));
+  explicit store_standin(const http_server_init &Init) : Server(Init) {}
+  ~store_standin() {
+    {
+      const std::lock_guard Lock(Mutex);
+      Stopping = true;
     }
-    Answer["count"] = std::to_string(Values.size());
-    return Answer;
+    Ready.notify_one();
+    Thread.join();
   }
+  store_standin(const store_standin &) = delete;
+  store_standin &operator=(const store_standin &) = delete;
 
-  Json::Value put(const Json::Value &Request) {
-    ++Revision;
-    apply(Request);
-    Json::Value Answer;
-    Answer["header"] = header();
-    return Answer;
+  result<void> start() {
+    Thread = posix_thread("store-timers", [this] { runTimers(); });
+    return Server.start([this](request_handle Handle, http_request &&Request) {
+      const std::lock_guard Lock(Mutex);
+      onRequest(Handle, Request);
+    });
   }
 
-  Json::Value transact(const Json::Value &Request) {
-    bool Holds = true;
-    for (const Json::Value &Compare : Request["compare"]) {
-      Holds = Holds && compareHolds(Compare);
-    }
-    const Json::Value &Branch = Request[Holds ? "success" : "failure"];
-    for (const Json::Value &Operation : Branch) {
-      if (Operation.isMember("request_put") ||
-          Operation.isMember("request_delete_range")) {
-        ++Revision;
-        break;
-      }
-    }
-    Json::Value Answer;
-    Json::Value &Responses = Answer["responses"] =
-        Json::Value(Json::arrayValue);
-    for (const Json::Value &Operation : Branch) {
-      Responses.append(applyOperation(Operation));
+private:
+  void onRequest(request_handle Handle, const http_request &Request) {
+    const json_document Document(Request.Body.empty() ? "{}" : Request.Body,
+                                 json_comments::Refused);
+    if (!Document.isValid() || !Document.root().isObject()) {
+      Server.respond(Handle, errorResponse(StatusBadRequest, "not JSON"));
+    } else if (Request.Path.starts_with("/admin/")) {
+      Server.respond(Handle, administer(Request.Path, Document.root()));
+    } else {
+      ++Calls[Request.Path];
+      onCall(Handle, Request.Path, Document.root());
     }
-    Answer["header"] = header();
-    Answer["succeeded"] = Holds;
-    return Answer;
   }
 
-private:
-  Json::Value header() const {
-    Json::Value Header;
-    Header["revision"] = std::to_string(Revision);
-    return Header;
+  void onCall(request_handle Handle, const std::string &Path,
+              const Json::Value &Body) {
+    if (Faults.Down) {
+      Server.respond(Handle, errorResponse(StatusUnavailable, "down"));
+    } else if (Path == "/v3/kv/range") {
+      answer(Handle, jsonResponse(Keys.range(Body)));
+    } else if (Path == "/v3/watch") {
+      openWatch(Handle, Body["create_request"]);
+    } else if (const auto Write = Writes.find(Path); Write != Writes.end()) {
+      onWrite(Handle, Write->second, Body);
+    } else {
+      Server.respond(Handle, errorResponse(StatusNotFound, "no such call"));
+    }
   }
 
-  static Json::Value describeEntry(const std::string &Key,
-                                   const stored_value &Stored) {
-    Json::Value Entry;
-    Entry["key"] = encodeBase64(Key);
-    Entry["value"] = encodeBase64(Stored.Value);
-    Entry["create_revision"] = std::to_string(Stored.CreateRevision);
-    Entry["mod_revision"] = std::to_string(Stored.ModRevision);
-    Entry["version"] = std::to_string(Stored.Version);
-    return Entry;
+  void onWrite(request_handle Handle, operation Write,
+               const Json::Value &Body) {
+    if (Faults.LateWrites > milliseconds::zero()) {
+      schedule(Faults.LateWrites, [this, Write, Body] {
+        (Keys.*Write)(Body);
+        tellWatches();
+      });
+      return;
+    }
+    const Json::Value Answer = (Keys.*Write)(Body);
+    tellWatches();
+    if (Faults.LoseWrites != 0) {
+      --Faults.LoseWrites;
+      return;
+    }
+    answer(Handle, jsonResponse(Answer));
   }
 
-  void apply(const Json::Value &Put) {
-    stored_value &Entry = Stored[decodeField(Put, "key")];
-    Entry.Value = decodeField(Put, "value");
-    Entry.ModRevision = Revision;
-    Entry.CreateRevision = Entry.Version == 0 ? Revision : Entry.CreateRevision;
-    ++Entry.Version;
+  void answer(request_handle Handle, http_response Response) {
+    if (Faults.Slow == milliseconds::zero()) {
+      Server.respond(Handle, std::move(Response));
+      return;
+    }
+    schedule(Faults.Slow, [this, Handle, Response = std::move(Response)] {
+      Server.respond(Handle, Response);
+    });
   }
 
-  Json::Value applyOperation(const Json::Value &Operation) {
-    Json::Value Response;
-    if (Operation.isMember("request_put")) {
-      apply(Operation["request_put"]);
-      Response["response_put"]["header"] = header();
-    } else if (Operation.isMember("request_delete_range")) {
-      const std::string Key =
-          decodeField(Operation["request_delete_range"], "key");
-      Response["response_delete_range"]["deleted"] =
-          std::to_string(Stored.erase(Key));
-    } else if (Operation.isMember("request_range")) {
-      Response["response_range"] = range(Operation["request_range"]);
+  void openWatch(request_handle Handle, const Json::Value &Create) {
+    watch Watch;
+    Watch.Range = standins::readKeyRange(Create);
+    const Json::Value &Start = Create["start_revision"];
+    Watch.Next = Start.isString() ? std::strtoll(Start.asCString(), nullptr, 10)
+                                  : Start.asInt64();
+    Watch.Next = Watch.Next == 0 ? Keys.revision() + 1 : Watch.Next;
+    Watch.Progress = Create.get("progress_notify", false).asBool();
+    Json::Value Message;
+    Message["result"]["header"] = Keys.header();
+    Message["result"]["created"] = true;
+    std::string Head = writeJson(Message) + "\n";
+    if (Watch.Next <= Keys.compactRevision()) {
+      Message["result"].removeMember("created");
+      Message["result"]["canceled"] = true;
+      Message["result"]["compact_revision"] =
+          std::to_string(Keys.compactRevision());
+      Server.respond(Handle, {200, Head + writeJson(Message) + "\n", {}});
+      return;
     }
-    return Response;
+    Server.beginStream(Handle, {200, std::move(Head), {}});
+    tellWatch(Handle, Watches[Handle] = Watch);
   }
 
-  bool compareHolds(const Json::Value &Compare) const {
-    const auto Found = Stored.find(decodeField(Compare, "key"));
-    const stored_value Entry =
-        Found == Stored.end() ? stored_value{} : Found->second;
-    const std::string Target = Compare["target"].asString();
-    if (Target == "VALUE") {
-      return Entry.Value == decodeField(Compare, "value");
+  void tellWatch(request_handle Handle, watch &Watch) {
+    if (Watch.Silent) {
+      return;
     }
-    const bool IsVersion = Target == "VERSION";
-    const std::int64_t Have = IsVersion            ? Entry.Version
-                              : Target == "CREATE" ? Entry.CreateRevision
-                                                   : Entry.ModRevision;
-    const char *Name = IsVersion            ? "version"
-                       : Target == "CREATE" ? "create_revision"
-                                            : "mod_revision";
-    return std::to_string(Have) == Compare.get(Name, "0").asString();
+    const Json::Value Events = Keys.changesSince(Watch.Range, Watch.Next);
+    Watch.Next = std::max(Watch.Next, Keys.revision() + 1);
+    if (Events.empty()) {
+      return;
+    }
+    Json::Value Message;
+    Message["result"]["header"] = Keys.header();
+    Message["result"]["events"] = Events;
+    Server.writeStream(Handle, writeJson(Message) + "\n");
   }
 
-  std::map<std::string, stored_value> Stored;
-  std::int64_t Revision = 1;
-};
-
-class store_standin {
-public:
-  explicit store_standin(const http_server_init &Init) : Server(Init) {}
+  void tellWatches() {
+    for (auto &[Handle, Watch] : Watches) {
+      tellWatch(Handle, Watch);
+    }
+  }
 
-  result<void> start() {
-    return Server.start([this](request_handle Handle, http_request &&Request) {
-      Server.respond(Handle, answer(Request));
+  void tellProgress() {
+    Json::Value Message;
+    Message["result"]["header"] = Keys.header();
+    const std::string Line = writeJson(Message) + "\n";
+    std::erase_if(Watches, [&](const auto &Entry) {
+      const bool Tells = Entry.second.Progress && !Entry.second.Silent;
+      return Tells && !Server.writeStream(Entry.first, Line);
     });
   }
 
-private:
-  http_response answer(const http_request &Request) {
-    const std::lock_guard Lock(Mutex);
-    if (Request.Path == "/admin/calls") {
+  http_response administer(const std::string &Path, const Json::Value &Body) {
+    if (Path == "/admin/calls") {
       Json::Value Answer(Json::objectValue);
-      for (const auto &[Path, Count] : Calls) {
-        Answer[Path] = Json::UInt64(Count);
+      for (const auto &[Call, Count] : Calls) {
+        Answer[Call] = Json::UInt64(Count);
       }
-      return {200, writeJson(Answer), {}, "application/json"};
+      return jsonResponse(Answer);
     }
-    ++Calls[Request.Path];
-    const json_document Document(Request.Body, json_comments::Refused);
-    if (!Document.isValid()) {
-      return {
-          StatusBadRequest, R"({"error":"not JSON"})", {}, "application/json"};
+    if (Path == "/admin/faults") {
+      setFaults(Body);
+    } else if (Path == "/admin/cut_watches") {
+      cutWatches();
+    } else if (Path == "/admin/silence_watches") {
+      for (auto &[Handle, Watch] : Watches) {
+        Watch.Silent = true;
+      }
+    } else if (Path == "/admin/restore") {
+      Keys.restore(Body.get("revision", 1).asInt64());
+    } else {
+      return errorResponse(StatusNotFound, "no such call");
     }
-    if (Request.Path == "/v3/kv/range") {
-      return {
-          200, writeJson(Keys.range(Document.root())), {}, "application/json"};
+    return jsonResponse(Json::Value(Json::objectValue));
+  }
+
+  void setFaults(const Json::Value &Body) {
+    Faults.Down = Body.get("down", false).asBool();
+    Faults.Slow = milliseconds(Body.get("slow_ms", 0).asInt64());
+    Faults.LoseWrites = Body.get("lose_writes", 0).asUInt();
+    Faults.LateWrites = milliseconds(Body.get("late_writes_ms", 0).asInt64());
+    if (Faults.Down) {
+      cutWatches();
     }
-    if (Request.Path == "/v3/kv/put") {
-      return {
-          200, writeJson(Keys.put(Document.root())), {}, "application/json"};
+  }
+
+  void cutWatches() {
+    for (const auto &[Handle, Watch] : Watches) {
+      Server.endStream(Handle);
     }
-    if (Request.Path == "/v3/kv/txn") {
-      return {200,
-              writeJson(Keys.transact(Document.root())),
-              {},
-              "application/json"};
+    Watches.clear();
+  }
+
+  /// Runs a function later, with Mutex held.
+  void schedule(milliseconds Delay, std::function<void()> Action) {
+    Timers.emplace(bootNow() + Delay, std::move(Action));
+    Ready.notify_one();
+  }
+
+  void runTimers() {
+    std::unique_lock Lock(Mutex);
+    boot_time NextProgress = bootNow() + ProgressInterval;
+    while (!Stopping) {
+      const boot_time Due = Timers.empty()
+                                ? NextProgress
+                                : std::min(NextProgress, Timers.begin()->first);
+      Ready.wait_for(Lock, Due - bootNow());
+      while (!Timers.empty() && Timers.begin()->first <= bootNow()) {
+        const auto Action = std::move(Timers.extract(Timers.begin()).mapped());
+        Action();
+      }
+      if (bootNow() >= NextProgress) {
+        tellProgress();
+        NextProgress = bootNow() + ProgressInterval;
+      }
     }
-    return {
-        StatusNotFound, R"({"error":"no such call"})", {}, "application/json"};
   }
 
   std::mutex Mutex;
-  key_space Keys;                             ///< guarded by Mutex
-  std::map<std::string, std::uint64_t> Calls; ///< guarded by Mutex
+  std::condition_variable Ready;
+  key_space Keys;                                         ///< guarded by Mutex
+  std::map<std::string, std::uint64_t> Calls;             ///< guarded by Mutex
+  faults Faults;                                          ///< guarded by Mutex
+  std::map<request_handle, watch> Watches;                ///< guarded by Mutex
+  std::multimap<boot_time, std::function<void()>> Timers; ///< guarded by Mutex
+  bool Stopping = false;                                  ///< guarded by Mutex
+  posix_thread Thread;
   http_server Server;
 };
 } // namespace
