Wire shares into dispatch and team limits

Cause: the division of slots and limits stood by itself.

Ruled out: recomputing shares on each heartbeat (cost grows with the fleet); using the newest own demand (others compute from the one told last).

Change: the other entry hosts of the host list get their parts of the slots in their own failure domain and of all team limits, computed anew when hosts or settings change and at each turn of a second. Loads are taken by setEntryHosts() and told by tellLoad(); until heartbeats carry them every load is unknown and parts are equal. Placement reads SlotShare in place of the target's slots; /v1/status shows it.

Figures: none; unit tests hold half the slots with one other host, and a limit of 1 over 4 hosts with at most one start a turn.

Conclusion: entry hosts no longer overcommit targets when their lists agree.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -29,6 +29,10 @@
 /// A job's place in its team's queue: arrival + stretch * longest task.
 constexpr int QueueStretch = 4;
 
+// Shares of entry hosts.
+/// Period after which units that are too few for all hosts change holders.
+constexpr milliseconds ShareTurn{1'000};
+
 // Attempts.
 constexpr milliseconds TaskLease{2'000};
 constexpr milliseconds LeaseRenewInterval{500};
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "core/attempts_p.h"
 #include "core/placement_p.h"
+#include "core/teams_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -54,12 +55,6 @@
   setTimer(State, Next, timer_kind::Dispatch);
 }
 
-team_limits limitsOf(const team_settings &Settings) {
-  team_limits Limits;
-  Limits.MaxRunningTasks = Settings.MaxRunningTasks;
-  return Limits;
-}
-
 /// One pass over the queues.
 struct dispatch_pass {
   dispatcher_state &State;
@@ -116,15 +111,6 @@
 };
 } // namespace
 
-void configureTeams(dispatcher_state &State) {
-  for (const auto &[Name, Settings] : State.Settings.Teams) {
-    const team_limits Limits = limitsOf(Settings);
-    State.Queues.configure(Name, Settings.Urgency,
-                           {Limits.MaxQueuedTasks, Limits.MaxQueuedBytes});
-    State.Teams[Name].Limiter.setShare(wholeShare(Limits));
-  }
-}
-
 void enqueueTask(dispatcher_state &State, const job_record &Job,
                  std::uint32_t Task, instant Now) {
   State.Queues.requeue({Job.Key, Job.Team, rankOf(State, Job, Now), 1,
@@ -133,6 +119,7 @@
 }
 
 void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now) {
+  noteNeeds(State, Job);
   State.Queues.push({Job.Key, Job.Team, rankOf(State, Job, Now),
                      static_cast<std::uint32_t>(Job.Tasks.size()),
                      payloadBytes(Job)});
--- a/src/core/dispatch_p.h
+++ b/src/core/dispatch_p.h
@@ -5,9 +5,6 @@
 
 namespace tarragonbridge {
 
-/// Takes over urgencies, bounds and limits of teams from the settings.
-void configureTeams(dispatcher_state &State);
-
 void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now);
 void enqueueTask(dispatcher_state &State, const job_record &Job,
                  std::uint32_t Task, instant Now);
--- /dev/null
+++ b/src/core/entry_shares.cpp
@@ -0,0 +1,177 @@
+#include "core/entry_shares_p.h"
+
+#include "core/teams_p.h"
+#include "tarragonbridge/config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragonbridge {
+
+namespace {
+share_demand demandOf(std::uint64_t InUse, std::uint64_t Queued,
+                      std::uint64_t LargestNeed) {
+  return {InUse + Queued * LargestNeed, InUse,
+          std::max<std::uint64_t>(1, LargestNeed)};
+}
+
+team_load loadOf(const dispatcher_state &State, std::string_view Name,
+                 const team_record &Team) {
+  const team_use &Use = Team.Limiter.use();
+  const std::uint64_t Queued = State.Queues.size(Name).Tasks;
+  const share_demand Tasks = demandOf(Use.RunningTasks, Queued, 1);
+  return {Tasks,
+          {Tasks.Wanted, 0, 1},
+          demandOf(Use.Cores, Queued, Team.LargestNeeds.Cores),
+          demandOf(Use.MemoryMb, Queued, Team.LargestNeeds.MemoryMb),
+          demandOf(Use.Accelerators, Queued, Team.LargestNeeds.Accelerators)};
+}
+
+/// @param[in] FailureDomain members of this one only, empty for all
+/// @param[in] Demand tells the demand of a known load
+/// @returns this host first, then the others
+template <class DemandOf>
+std::vector<share_member> listMembers(const dispatcher_state &State,
+                                      std::string_view FailureDomain,
+                                      DemandOf Demand) {
+  const share_state &Shares = State.Shares;
+  std::vector<share_member> Members;
+  Members.reserve(Shares.Others.size() + 1);
+  const auto Add = [&](const std::string &Name,
+                       const std::optional<entry_load> &Load) {
+    Members.push_back({Name, Load ? Demand(*Load) : std::nullopt});
+  };
+  Add(State.Init.Self.Host, Shares.Told);
+  for (const entry_host &Other : Shares.Others) {
+    if (FailureDomain.empty() || Other.FailureDomain == FailureDomain) {
+      Add(Other.Name, Other.Load);
+    }
+  }
+  return Members;
+}
+
+/// Divides the slots of the targets in the own failure domain.
+void refreshSlots(dispatcher_state &State) {
+  const std::string &Domain = State.Init.Self.FailureDomain;
+  std::uint64_t Total = 0;
+  for (const auto &[Name, Target] : State.Targets) {
+    Total += Target.Host.FailureDomain == Domain ? Target.Host.Slots : 0;
+  }
+  for (auto &[Name, Target] : State.Targets) {
+    const std::uint64_t Slots = Target.Host.Slots;
+    Target.SlotShare = Target.Host.Slots;
+    const bool IsShared = Target.Host.FailureDomain == Domain && Slots != 0 &&
+                          !State.Shares.Others.empty();
+    if (!IsShared) {
+      continue;
+    }
+    const auto AtTarget = [&](const entry_load &Load) {
+      const std::uint64_t Wanted =
+          (Load.WantedSlots * Slots + Total - 1) / Total;
+      return std::optional(share_demand{Wanted, 0, 1});
+    };
+    const std::vector<share_member> Members =
+        listMembers(State, Domain, AtTarget);
+    Target.SlotShare = static_cast<std::uint32_t>(
+        divideLimit({Name, Slots, 0}, Members).front());
+  }
+}
+
+/// Computes the share of each of a team's limits.
+class limit_divider {
+public:
+  limit_divider(const dispatcher_state &State, const std::string &Team,
+                instant Now)
+      : State(State), Team(Team),
+        Turn(static_cast<std::uint64_t>(Now.Wall.time_since_epoch() /
+                                        config::ShareTurn)) {}
+
+  /// @param[in] Units the limit, 0 for none
+  /// @param[in] Kind name of the limit
+  /// @param[in] Demand member of team_load
+  std::uint64_t divide(std::uint64_t Units, std::string_view Kind,
+                       share_demand team_load::*Demand) const {
+    if (Units == 0) {
+      return limit_share::Unlimited;
+    }
+    const auto OfTeam = [&](const entry_load &Load) {
+      const auto Found = Load.Teams.find(Team);
+      return std::optional(Found == Load.Teams.end() ? share_demand{}
+                                                     : Found->second.*Demand);
+    };
+    const std::string Name = Team + "/" + std::string(Kind);
+    return usableShare({Name, Units, Turn}, listMembers(State, "", OfTeam),
+                       State.Init.Self.Host);
+  }
+
+private:
+  const dispatcher_state &State;
+  const std::string &Team;
+  std::uint64_t Turn;
+};
+
+void refreshLimits(dispatcher_state &State, instant Now) {
+  for (const auto &[Name, Settings] : State.Settings.Teams) {
+    const team_limits Limits = limitsOf(Settings);
+    const limit_divider Divider(State, Name, Now);
+    limit_share Share;
+    Share.RunningTasks =
+        Divider.divide(Limits.MaxRunningTasks, "tasks", &team_load::Tasks);
+    Share.StartsPerSecond =
+        Divider.divide(Limits.MaxStartsPerSecond, "starts", &team_load::Starts);
+    Share.Cores = Divider.divide(Limits.MaxCores, "cores", &team_load::Cores);
+    Share.MemoryMb =
+        Divider.divide(Limits.MaxMemoryMb, "memory", &team_load::MemoryMb);
+    Share.Accelerators = Divider.divide(Limits.MaxAccelerators, "accelerators",
+                                        &team_load::Accelerators);
+    State.Teams[Name].Limiter.setShare(Share);
+  }
+}
+} // namespace
+
+entry_load tellLoad(dispatcher_state &State) {
+  entry_load Load;
+  Load.WantedSlots = State.RunningTasks + State.Queues.size().Tasks;
+  for (const auto &[Name, Settings] : State.Settings.Teams) {
+    const auto Team = State.Teams.find(Name);
+    const bool IsLimited = limitsOf(Settings) != team_limits{};
+    if (Team == State.Teams.end() || !IsLimited) {
+      continue;
+    }
+    const team_load OfTeam = loadOf(State, Name, Team->second);
+    if (OfTeam.Tasks.Wanted != 0) {
+      Load.Teams.emplace(Name, OfTeam);
+    }
+  }
+  State.Shares.Told = Load;
+  return Load;
+}
+
+void setEntryHosts(dispatcher_state &State, std::vector<entry_host> Others,
+                   instant Now) {
+  State.Shares.Others = std::move(Others);
+  refreshShares(State, Now);
+}
+
+void refreshShares(dispatcher_state &State, instant Now) {
+  refreshSlots(State);
+  refreshLimits(State, Now);
+}
+
+void onShareTimer(dispatcher_state &State, instant Now) {
+  State.Shares.TimerSet = false;
+  refreshShares(State, Now);
+  startShareTimer(State, Now);
+}
+
+void startShareTimer(dispatcher_state &State, instant Now) {
+  if (State.Shares.TimerSet || State.Shares.Others.empty()) {
+    return;
+  }
+  // Turns change at the same wall time at all hosts.
+  const auto IntoTurn = Now.Wall.time_since_epoch() % config::ShareTurn;
+  State.Shares.TimerSet = true;
+  setTimer(State, Now.Boot + config::ShareTurn - IntoTurn, timer_kind::Shares);
+}
+
+} // namespace tarragonbridge
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -6,7 +6,7 @@
 bool hasRoom(const target_record &Target, const resources &Needs, instant Now) {
   return Target.Listed && Target.Host.State == host_state::Live &&
          Target.FullUntil <= Now.Boot &&
-         Target.Running.size() < Target.Host.Slots &&
+         Target.Running.size() < Target.SlotShare &&
          Needs.fitsIn(Target.Host.Capacity);
 }
 } // namespace
@@ -20,7 +20,7 @@
       continue;
     }
     const double Load =
-        static_cast<double>(Target.Running.size()) / Target.Host.Slots;
+        static_cast<double>(Target.Running.size()) / Target.SlotShare;
     if (Best == nullptr || Load < BestLoad) {
       Best = &Target;
       BestLoad = Load;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,12 +1,29 @@
 #include "core/attempts_p.h"
 #include "core/dispatch_p.h"
+#include "core/entry_shares_p.h"
 #include "core/jobs_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
+#include "core/teams_p.h"
 
 namespace tarragonbridge {
 
 namespace {
+/// @returns the other entry hosts that are not leaving, their loads unknown
+std::vector<entry_host> listEntryHosts(const dispatcher_state &State,
+                                       const hosts_listed &Event) {
+  std::vector<entry_host> Others;
+  for (const host_entry &Host : Event.Hosts) {
+    const bool IsOther = Host.Role == host_role::Entry &&
+                         Host.State == host_state::Live &&
+                         Host.Name != State.Init.Self.Host;
+    if (IsOther) {
+      Others.push_back({Host.Name, Host.FailureDomain, std::nullopt});
+    }
+  }
+  return Others;
+}
+
 /// Joins the list with what this host has out at targets that left it.
 void onHostsListed(dispatcher_state &State, const hosts_listed &Event,
                    instant Now, effects &Effects) {
@@ -24,6 +41,8 @@
   std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Running.empty();
   });
+  setEntryHosts(State, listEntryHosts(State, Event), Now);
+  startShareTimer(State, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -33,7 +52,7 @@
     return;
   }
   State.Settings = Event.Settings;
-  configureTeams(State);
+  configureTeams(State, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -56,6 +75,10 @@
   case timer_kind::RenewLeases:
     onRenewLeases(State, Now, Effects);
     break;
+  case timer_kind::Shares:
+    onShareTimer(State, Now);
+    dispatchQueued(State, Now, Effects);
+    break;
   }
 }
 
@@ -125,7 +148,7 @@
   State->Init = Init;
   State->Settings = defaultSettings(Init.Self.FailureDomain);
   State->Random.seed(Init.RandomSeed);
-  configureTeams(*State);
+  configureTeams(*State, {});
   return State;
 }
 
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tarragonbridge/dispatcher.h"
+#include "tarragonbridge/entry_load.h"
 #include "tarragonbridge/run_times.h"
 #include "tarragonbridge/team_limits.h"
 #include "tarragonbridge/team_queues.h"
@@ -81,6 +82,7 @@
 struct target_record {
   host_entry Host;
   bool Listed = true;
+  std::uint32_t SlotShare = 0; ///< slots that this host may use
   std::set<attempt_id> Running;
   boot_time FullUntil; ///< no start before this after a refusal
 };
@@ -88,7 +90,15 @@
 /// Use of a team's limits by this host.
 struct team_record {
   team_limiter Limiter;
-  boot_time WakeAt; ///< latest timer set for its rate of starts
+  resources LargestNeeds; ///< of tasks queued since it was last idle
+  boot_time WakeAt;       ///< latest timer set for its rate of starts
+};
+
+/// What shares are computed from.
+struct share_state {
+  std::vector<entry_host> Others;
+  std::optional<entry_load> Told; ///< own load as told last
+  bool TimerSet = false;
 };
 
 /// What a timer is for.
@@ -97,7 +107,8 @@
   Forget,
   Wait,
   Dispatch,
-  RenewLeases
+  RenewLeases,
+  Shares,
 };
 
 struct timer {
@@ -113,6 +124,7 @@
   std::map<std::string, target_record, std::less<>> Targets;
   std::map<std::string, team_record, std::less<>> Teams;
   team_queues Queues;
+  share_state Shares;
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
   std::multimap<boot_time, timer> Timers;
--- a/src/core/status.cpp
+++ b/src/core/status.cpp
@@ -15,6 +15,7 @@
   Row["listed"] = Target.Listed;
   Row["running_here"] = Json::UInt64(Target.Running.size());
   Row["slots"] = Target.Host.Slots;
+  Row["slots_here"] = Target.SlotShare;
   return Row;
 }
 
--- /dev/null
+++ b/src/core/teams.cpp
@@ -0,0 +1,38 @@
+#include "core/teams_p.h"
+
+#include "core/entry_shares_p.h"
+
+#include <algorithm>
+
+namespace tarragonbridge {
+
+team_limits limitsOf(const team_settings &Settings) {
+  team_limits Limits;
+  Limits.MaxRunningTasks = Settings.MaxRunningTasks;
+  return Limits;
+}
+
+void configureTeams(dispatcher_state &State, instant Now) {
+  for (const auto &[Name, Settings] : State.Settings.Teams) {
+    const team_limits Limits = limitsOf(Settings);
+    State.Queues.configure(Name, Settings.Urgency,
+                           {Limits.MaxQueuedTasks, Limits.MaxQueuedBytes});
+  }
+  refreshShares(State, Now);
+}
+
+void noteNeeds(dispatcher_state &State, const job_record &Job) {
+  team_record &Team = State.Teams[Job.Team];
+  const bool IsIdle = Team.Limiter.use().RunningTasks == 0 &&
+                      State.Queues.size(Job.Team).Tasks == 0;
+  resources Largest = IsIdle ? resources{0, 0, 0} : Team.LargestNeeds;
+  for (const task_record &Task : Job.Tasks) {
+    const resources &Needs = Task.Request.Needs;
+    Largest = {std::max(Largest.Cores, Needs.Cores),
+               std::max(Largest.MemoryMb, Needs.MemoryMb),
+               std::max(Largest.Accelerators, Needs.Accelerators)};
+  }
+  Team.LargestNeeds = Largest;
+}
+
+} // namespace tarragonbridge
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -1,5 +1,7 @@
 #include "dispatcher_fixture.h"
 
+#include "tarragonbridge/config.h"
+
 #include <catch2/catch.hpp>
 
 using namespace tarragonbridge;
@@ -66,3 +68,29 @@
   CHECK(countStarted(Wide) >= 2);
   CHECK(countStarted(Narrow) == 1);
 }
+
+TEST_CASE_METHOD(dispatch_fixture, "slots are shared with other entry hosts") {
+  listTargets(2, 4, Large, 1);
+  apply(job(Burst, "a", 20));
+  CHECK(Started.size() == 4);
+}
+
+TEST_CASE_METHOD(dispatch_fixture, "team limits are shared in turns") {
+  team_settings Settings;
+  Settings.MaxRunningTasks = 1;
+  loadTeams({{"a", Settings}});
+  listTargets(2, 4, Large, 3);
+  apply(job(Limited, "a", 20));
+  int Turns = 0;
+  for (int Turn = 0; Turn < 40; ++Turn) {
+    const std::size_t Before = Started.size();
+    advance(config::ShareTurn);
+    REQUIRE(Started.size() <= Before + 1);
+    if (Started.size() > Before) {
+      ++Turns;
+      advance(config::ShareTurn); // outlasts its turn
+      finish(start_task(Started.back()));
+    }
+  }
+  CHECK(Turns >= 4);
+}
--- a/tests/unit/dispatcher_fixture.h
+++ b/tests/unit/dispatcher_fixture.h
@@ -36,8 +36,17 @@
     apply(timer_fired{});
   }
 
-  void listTargets(int Count, std::uint32_t Slots, resources Capacity) {
+  /// Lists targets, and other entry hosts of the same failure domain.
+  void listTargets(int Count, std::uint32_t Slots, resources Capacity,
+                   int OtherEntries = 0) {
     hosts_listed Event;
+    for (int Index = 0; Index < OtherEntries; ++Index) {
+      host_entry Host;
+      Host.Name = "other-" + std::to_string(Index);
+      Host.Role = host_role::Entry;
+      Host.FailureDomain = "curepipe";
+      Event.Hosts.push_back(Host);
+    }
     for (int Index = 0; Index < Count; ++Index) {
       host_entry Host;
       Host.Name = "t" + std::to_string(Index);
