--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -33,6 +33,11 @@
 constexpr milliseconds RefusalBackoff{20};
 constexpr std::uint32_t MaxAttemptsPerTask = 5;
 
+// Learnt run times.
+constexpr double RunTimeMemoryTasks = 200; ///< finished tasks that weigh most
+constexpr std::size_t MinRunTimeSamples = 3;
+constexpr std::size_t MaxRunTimeClasses = 10'000;
+
 // Connections.
 constexpr unsigned MaxCallerConnections = 4'000;
 constexpr unsigned ServerThreads = 2;
@@ -44,6 +49,12 @@
 // The platform's store.
 constexpr milliseconds StoreTimeout{3'000};
 constexpr milliseconds StorePollInterval{1'000};
+constexpr double StoreCallsPerSecond = 10; ///< budget of one host
+constexpr double StoreCallBurst = 30;      ///< calls
+constexpr milliseconds StoreBackoffFirst{100};
+constexpr milliseconds StoreBackoffMost{3'000};
+constexpr milliseconds WatchSilence{3'000}; ///< renewed when silent for longer
+constexpr std::size_t MaxWatchLineBytes = 64U << 20U;
 
 // Shutdown.
 constexpr milliseconds MaxShutdownTime{60'000};
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tarragonbridge/dispatcher.h"
+#include "tarragonbridge/run_times.h"
 
 #include <deque>
 #include <map>
@@ -27,6 +28,8 @@
   std::uint32_t Refusals = 0; ///< attempts proved not run
   std::string Target;         ///< of the attempt that is out
   boot_time NotBefore;        ///< earliest next attempt
+  boot_time QueuedAt;
+  boot_time StartedAt; ///< of the attempt that is out
   std::string Output;
 };
 
@@ -56,6 +59,7 @@
   std::uint64_t Digest = 0;
   bool Repeatable = false;
   job_phase Phase = job_phase::Running;
+  boot_time ReceivedAt;
   boot_time Deadline;
   boot_time ForgetAt;
   std::vector<task_record> Tasks;
@@ -107,6 +111,7 @@
   bool LeaseTimerSet = false;
   bool ShuttingDown = false;
   bool ShutdownTold = false;
+  run_times RunTimes;
   std::mt19937_64 Random;
   dispatcher_figures Figures;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,16 +83,11 @@
     return true;
   }
   if (Request.Path == "/metrics") {
-    Server.respond(
-        Handle, {200, formatMetrics(Loop.currentFigures()), {}, "text/plain"});
-    return true;
-  }
-  if (Request.Path == "/v1/status") {
     Server.respond(Handle,
                    {200,
-                    formatStatus(Init, Loop.currentFigures(), ShuttingDown),
+                    formatMetrics(Loop.currentFigures()) + Times.format(),
                     {},
-                    "application/json"});
+                    "text/plain"});
     return true;
   }
   return false;
@@ -127,6 +122,8 @@
     Targets.stop(*Stop);
   } else if (const auto *Renew = std::get_if<renew_leases>(&Effect)) {
     Targets.renew(*Renew);
+  } else if (const auto *Observation = std::get_if<observe_time>(&Effect)) {
+    Times.add(*Observation);
   } else if (const auto *Line = std::get_if<log_line>(&Effect)) {
     logEvent(Line->Event, Line->Fields);
   } else {
