Refuse jobs that never fit or are sure to be late

Cause: admission looked at every target for every task, knew no limits of the team, and refused for lateness only once the time limit had passed.

Ruled out: predictions from mean run times (declared ones are off by up to ten times, so in-time jobs would be refused); scanning the queue ahead.

Change: capacities of the listed targets are kept as a set of largest ones; a job also never fits past its team's limits or queue bounds. Queued run time is kept by rank interval, so the work ahead costs a step for each 100 ms of rank. A job is late when its longest task, or the work ahead with its own, surely takes it past its deadline: learnt times less two deviations, a tenth of declared ones, halved for fast targets. Both refusals prove not_run as before.

Conclusion: hopeless jobs are refused before anything starts; the prediction errs towards admitting until target speeds are known to it.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -29,6 +29,10 @@
 /// A job's place in its team's queue: arrival + stretch * longest task.
 constexpr int QueueStretch = 4;
 
+// Predicted lateness.
+constexpr int DeclaredTimeMargin = 10; ///< declared times are off by this
+constexpr int FastTargetMargin = 2;    ///< fastest speed over the average
+
 // Shares of entry hosts.
 /// Period after which units that are too few for all hosts change holders.
 constexpr milliseconds ShareTurn{1'000};
--- a/include/tarragonbridge/team_queues.h
+++ b/include/tarragonbridge/team_queues.h
@@ -45,6 +45,7 @@
   boot_time Rank; ///< order within the team, earlier first
   std::uint32_t Tasks = 0;
   std::uint64_t Bytes = 0; ///< of all its tasks
+  microseconds Work{};     ///< run time of one task, for workAhead()
 };
 
 /// What became of an offer to start a queued task.
@@ -73,6 +74,7 @@
   /// Jobs of one team that are offered in one pass before the next team.
   static constexpr std::size_t MaxJobsScanned = 8;
   static constexpr std::uint32_t MaxUrgency = 9;
+  static constexpr milliseconds WorkInterval{100};
 
   team_queues() = default;
   team_queues(const team_queues &) = delete;
@@ -112,6 +114,14 @@
   /// @param[in] Used run time that it took
   void settle(std::string_view Team, microseconds Charged, microseconds Used);
 
+  /// @returns run time of the team's queued tasks that go before a rank
+  ///
+  /// @param[in] Enough the sum is cut off here
+  /// @remarks Ranks are told apart by WorkInterval; those of the same interval
+  /// are not counted. Takes a step for each interval up to the rank.
+  microseconds workAhead(std::string_view Team, boot_time Rank,
+                         microseconds Enough) const;
+
   /// @returns queued work of all teams
   queue_size size() const { return Total; }
   /// @returns queued work of one team
@@ -120,6 +130,12 @@
 private:
   /// Rank and, among equal ones, order of arrival.
   using rank = std::pair<boot_time, std::uint64_t>;
+  /// Jobs whose ranks fall into one interval.
+  struct interval_work {
+    std::size_t Jobs = 0;
+    microseconds Work{}; ///< run time of their queued tasks
+  };
+  using work_by_rank = std::map<boot_time, interval_work>;
   struct team;
   struct entry {
     team *Team = nullptr;
@@ -128,6 +144,8 @@
     std::uint32_t End = 0;
     std::vector<std::uint32_t> Requeued; ///< these wait too, and go first
     std::uint64_t Bytes = 0;
+    microseconds Work{}; ///< of one task
+    work_by_rank::iterator Interval;
 
     std::uint64_t tasks() const { return End - Next + Requeued.size(); }
     std::uint32_t front() const {
@@ -143,6 +161,7 @@
     std::int64_t VirtualTime = 0;
     bool WasBound = false; ///< could not start anything when last offered
     std::map<rank, entries::value_type *> Jobs;
+    work_by_rank Work;
   };
   struct earlier {
     bool operator()(const team *A, const team *B) const;
@@ -152,7 +171,7 @@
   team &findOrAdd(std::string_view Name);
   entry &addEntry(const queued_job &Job);
   void grow(entry &Entry, queue_size More);
-  void shrink(entry &Entry, queue_size Less);
+  void shrink(entry &Entry, queue_size Less); // before dropEntry
   void dropEntry(entries::iterator Entry);
   void charge(team &Team, std::int64_t Time);
   template <task_offer F>
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -1,5 +1,6 @@
 #include "core/admission_p.h"
 
+#include "core/capacity_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -31,49 +32,6 @@
   }
   return std::nullopt;
 }
-
-bool everFits(const dispatcher_state &State, const task_request &Task) {
-  return std::any_of(State.Targets.begin(), State.Targets.end(),
-                     [&](const auto &Entry) {
-                       return Task.Needs.fitsIn(Entry.second.Host.Capacity);
-                     });
-}
-
-std::optional<reason> checkQueues(const dispatcher_state &State,
-                                  const job_request &Job) {
-  queue_size More{Job.Tasks.size(), 0};
-  for (const task_request &Task : Job.Tasks) {
-    More.Bytes += Task.Payload.size();
-  }
-  if (!State.Queues.hasRoom({config::MaxQueuedTasks, config::MaxQueuedBytes},
-                            More)) {
-    return reason::QueueFull;
-  }
-  if (!State.Queues.hasRoom(Job.Team, More)) {
-    return reason::TeamQueueFull;
-  }
-  return std::nullopt;
-}
-
-std::optional<reason> checkCapacity(const dispatcher_state &State,
-                                    const job_request &Job, instant Now) {
-  // With no target listed yet nothing is known about what fits.
-  const bool AllFit =
-      State.Targets.empty() || std::all_of(Job.Tasks.begin(), Job.Tasks.end(),
-                                           [&](const task_request &Task) {
-                                             return everFits(State, Task);
-                                           });
-  if (!AllFit) {
-    return reason::NeverFits;
-  }
-  if (const auto Reason = checkQueues(State, Job)) {
-    return Reason;
-  }
-  if (Job.SubmittedAt + Job.TimeLimit <= Now.Wall) {
-    return reason::TooLate;
-  }
-  return std::nullopt;
-}
 } // namespace
 
 std::optional<refusal> checkAdmission(const dispatcher_state &State,
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -55,7 +55,7 @@
   setTimer(State, Target.FullUntil, timer_kind::Dispatch);
   Task.Phase = task_phase::Queued;
   Task.QueuedAt = Now.Boot;
-  enqueueTask(State, Job, Id.Task, Now);
+  enqueueTask(State, Job, Id.Task);
 }
 } // namespace
 
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch_p.h"
 
 #include "core/attempts_p.h"
+#include "core/lateness_p.h"
 #include "core/placement_p.h"
 #include "core/teams_p.h"
 #include "tarragonbridge/config.h"
@@ -18,18 +19,6 @@
   return Bytes;
 }
 
-/// @returns when the job is due for its turn: its arrival plus a multiple of
-/// the time that it is expected to take
-boot_time rankOf(const dispatcher_state &State, const job_record &Job,
-                 instant Now) {
-  milliseconds Longest{};
-  for (const task_record &Task : Job.Tasks) {
-    Longest = std::max(Longest, State.RunTimes.expected(Job.Team, Job.Class,
-                                                        Task.Request.Expected));
-  }
-  return Now.Boot + config::QueueStretch * Longest;
-}
-
 /// Needs of tasks that found no target in one pass.
 class unplaced_needs {
 public:
@@ -112,17 +101,20 @@
 } // namespace
 
 void enqueueTask(dispatcher_state &State, const job_record &Job,
-                 std::uint32_t Task, instant Now) {
-  State.Queues.requeue({Job.Key, Job.Team, rankOf(State, Job, Now), 1,
-                        Job.Tasks[Task].Request.Payload.size()},
+                 std::uint32_t Task) {
+  State.Queues.requeue({Job.Key, Job.Team, Job.Rank, 1,
+                        Job.Tasks[Task].Request.Payload.size(), Job.SureTime},
                        Task);
 }
 
-void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now) {
+void enqueueJob(dispatcher_state &State, job_record &Job, instant Now) {
   noteNeeds(State, Job);
-  State.Queues.push({Job.Key, Job.Team, rankOf(State, Job, Now),
-                     static_cast<std::uint32_t>(Job.Tasks.size()),
-                     payloadBytes(Job)});
+  const auto Tasks = static_cast<std::uint32_t>(Job.Tasks.size());
+  const job_times Times = timesOf(State, Job);
+  Job.Rank = rankOf(Times, Now);
+  Job.SureTime = Times.SureTotal / std::max<std::uint32_t>(1, Tasks);
+  State.Queues.push(
+      {Job.Key, Job.Team, Job.Rank, Tasks, payloadBytes(Job), Job.SureTime});
 }
 
 void dispatchQueued(dispatcher_state &State, instant Now, effects &Effects) {
--- a/src/core/dispatch_p.h
+++ b/src/core/dispatch_p.h
@@ -5,9 +5,12 @@
 
 namespace tarragonbridge {
 
-void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now);
+/// Queues all tasks of a new job.
+void enqueueJob(dispatcher_state &State, job_record &Job, instant Now);
+
+/// Queues a task again.
 void enqueueTask(dispatcher_state &State, const job_record &Job,
-                 std::uint32_t Task, instant Now);
+                 std::uint32_t Task);
 
 /// Starts queued tasks while targets have room and limits allow.
 void dispatchQueued(dispatcher_state &State, instant Now, effects &Effects);
--- a/src/core/entry_shares.cpp
+++ b/src/core/entry_shares.cpp
@@ -50,30 +50,39 @@
   return Members;
 }
 
+/// @param[in] Total slots of all targets in the own failure domain
+/// @returns the slots of a target that this host may use
+std::uint32_t shareOfSlots(const dispatcher_state &State,
+                           const std::string &Name, const host_entry &Target,
+                           std::uint64_t Total) {
+  const std::string &Domain = State.Init.Self.FailureDomain;
+  const std::uint64_t Slots = Target.Slots;
+  const bool IsShared = Target.FailureDomain == Domain && Slots != 0 &&
+                        !State.Shares.Others.empty();
+  if (!IsShared) {
+    return Target.Slots;
+  }
+  const auto AtTarget = [&](const entry_load &Load) {
+    const std::uint64_t Wanted = (Load.WantedSlots * Slots + Total - 1) / Total;
+    return std::optional(share_demand{Wanted, 0, 1});
+  };
+  const std::vector<share_member> Members =
+      listMembers(State, Domain, AtTarget);
+  return static_cast<std::uint32_t>(
+      divideLimit({Name, Slots, 0}, Members).front());
+}
+
 /// Divides the slots of the targets in the own failure domain.
 void refreshSlots(dispatcher_state &State) {
   const std::string &Domain = State.Init.Self.FailureDomain;
   std::uint64_t Total = 0;
+  State.Shares.UsableSlots = 0;
   for (const auto &[Name, Target] : State.Targets) {
     Total += Target.Host.FailureDomain == Domain ? Target.Host.Slots : 0;
   }
   for (auto &[Name, Target] : State.Targets) {
-    const std::uint64_t Slots = Target.Host.Slots;
-    Target.SlotShare = Target.Host.Slots;
-    const bool IsShared = Target.Host.FailureDomain == Domain && Slots != 0 &&
-                          !State.Shares.Others.empty();
-    if (!IsShared) {
-      continue;
-    }
-    const auto AtTarget = [&](const entry_load &Load) {
-      const std::uint64_t Wanted =
-          (Load.WantedSlots * Slots + Total - 1) / Total;
-      return std::optional(share_demand{Wanted, 0, 1});
-    };
-    const std::vector<share_member> Members =
-        listMembers(State, Domain, AtTarget);
-    Target.SlotShare = static_cast<std::uint32_t>(
-        divideLimit({Name, Slots, 0}, Members).front());
+    Target.SlotShare = shareOfSlots(State, Name, Target.Host, Total);
+    State.Shares.UsableSlots += Target.SlotShare;
   }
 }
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,4 +1,5 @@
 #include "core/attempts_p.h"
+#include "core/capacity_p.h"
 #include "core/dispatch_p.h"
 #include "core/entry_shares_p.h"
 #include "core/jobs_p.h"
@@ -41,6 +42,7 @@
   std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Running.empty();
   });
+  refreshCapacity(State);
   setEntryHosts(State, listEntryHosts(State, Event), Now);
   startShareTimer(State, Now);
   dispatchQueued(State, Now, Effects);
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -72,6 +72,8 @@
   boot_time ReceivedAt;
   boot_time Deadline;
   boot_time ForgetAt;
+  boot_time Rank;          ///< order in the queue of its team
+  microseconds SureTime{}; ///< what one of its tasks surely takes
   std::vector<task_record> Tasks;
   std::size_t Unsettled = 0;
   job_failure Failure;
@@ -98,6 +100,7 @@
 struct share_state {
   std::vector<entry_host> Others;
   std::optional<entry_load> Told; ///< own load as told last
+  std::uint64_t UsableSlots = 0;  ///< at all targets
   bool TimerSet = false;
 };
 
@@ -116,6 +119,11 @@
   std::string Key; ///< job, for Deadline, Forget and Wait
 };
 
+/// What the listed targets offer.
+struct capacity_state {
+  std::vector<resources> Largest; ///< capacities that no other one contains
+};
+
 struct dispatcher_state {
   dispatcher_init Init;
   settings_tree Settings;
@@ -125,6 +133,7 @@
   std::map<std::string, team_record, std::less<>> Teams;
   team_queues Queues;
   share_state Shares;
+  capacity_state Capacity;
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
   std::multimap<boot_time, timer> Timers;
--- a/src/core/team_queues.cpp
+++ b/src/core/team_queues.cpp
@@ -22,6 +22,10 @@
   const std::uint32_t Steps = team_queues::MaxUrgency - Urgency;
   return Count * (std::int64_t{1} << Steps);
 }
+
+boot_time intervalOf(boot_time Rank) {
+  return Rank - Rank.time_since_epoch() % team_queues::WorkInterval;
+}
 } // namespace
 
 bool team_queues::earlier::operator()(const team *A, const team *B) const {
@@ -65,6 +69,22 @@
   return Found == Teams.end() ? queue_size{} : Found->second.Size;
 }
 
+microseconds team_queues::workAhead(std::string_view Name, boot_time Rank,
+                                    microseconds Enough) const {
+  const auto Found = Teams.find(Name);
+  if (Found == Teams.end()) {
+    return {};
+  }
+  microseconds Sum{};
+  for (const auto &[Interval, Work] : Found->second.Work) {
+    if (Interval >= intervalOf(Rank) || Sum >= Enough) {
+      break;
+    }
+    Sum += Work.Work;
+  }
+  return std::min(Sum, Enough);
+}
+
 team_queues::entry &team_queues::addEntry(const queued_job &Job) {
   const auto [Added, IsNew] = Entries.try_emplace(std::string(Job.Key));
   entry &Entry = Added->second;
@@ -74,6 +94,9 @@
   team &Team = findOrAdd(Job.Team);
   Entry.Team = &Team;
   Entry.Rank = {Job.Rank, NextNumber++};
+  Entry.Work = Job.Work;
+  Entry.Interval = Team.Work.try_emplace(intervalOf(Job.Rank)).first;
+  ++Entry.Interval->second.Jobs;
   if (Team.Jobs.empty()) {
     Team.VirtualTime = std::max(Team.VirtualTime, VirtualTime);
     Backlog.insert(&Team);
@@ -84,6 +107,7 @@
 
 void team_queues::grow(entry &Entry, queue_size More) {
   Entry.Bytes += More.Bytes;
+  Entry.Interval->second.Work += Entry.Work * More.Tasks;
   for (queue_size *Size : {&Entry.Team->Size, &Total}) {
     Size->Tasks += More.Tasks;
     Size->Bytes += More.Bytes;
@@ -92,6 +116,7 @@
 
 void team_queues::shrink(entry &Entry, queue_size Less) {
   Entry.Bytes -= Less.Bytes;
+  Entry.Interval->second.Work -= Entry.Work * Less.Tasks;
   for (queue_size *Size : {&Entry.Team->Size, &Total}) {
     Size->Tasks -= Less.Tasks;
     Size->Bytes -= Less.Bytes;
@@ -117,6 +142,10 @@
 void team_queues::dropEntry(entries::iterator Entry) {
   team &Team = *Entry->second.Team;
   Team.Jobs.erase(Entry->second.Rank);
+  const auto Interval = Entry->second.Interval;
+  if (--Interval->second.Jobs == 0) {
+    Team.Work.erase(Interval);
+  }
   if (Team.Jobs.empty()) {
     Backlog.erase(&Team);
   }
--- /dev/null
+++ b/tests/unit/admission_test.cpp
@@ -0,0 +1,84 @@
+#include "dispatcher_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+
+namespace {
+constexpr resources Small{4, 1000, 0};
+constexpr milliseconds Long(10'000);
+
+struct admission_fixture : dispatcher_fixture {
+  admission_fixture() {
+    loadTeams({{"a", {}}, {"b", {}}});
+    listTargets(2, 4, Small);
+  }
+
+  /// Submits a job with declared run times.
+  int submit(int Number, const char *Team, std::size_t Tasks,
+             milliseconds Expected, milliseconds TimeLimit,
+             resources Needs = {}) {
+    job_submitted Event = job(Number, Team, Tasks, Needs);
+    Event.Job.TimeLimit = TimeLimit;
+    for (task_request &Task : Event.Job.Tasks) {
+      Task.Expected = Expected;
+    }
+    apply(Event);
+    return Answers.back().Status;
+  }
+
+  bool refusedFor(reason Reason) const {
+    const std::string Name(describe(Reason).Name);
+    const std::string &Body = Answers.back().Body;
+    return Body.find('"' + Name + '"') != std::string::npos &&
+           Body.find(R"("not_run":true)") != std::string::npos;
+  }
+};
+
+struct fit_case {
+  resources Needs;
+  int Status;
+};
+} // namespace
+
+TEST_CASE_METHOD(admission_fixture, "a job fits if some target can hold it") {
+  const auto [Needs, Status] = GENERATE(values<fit_case>({
+      {{4, 1000, 0}, 202},
+      {{5, 0, 0}, 422},
+      {{1, 1001, 0}, 422},
+      {{1, 0, 1}, 422},
+  }));
+  CHECK(submit(1, "a", 2, Long, 3 * Long, Needs) == Status);
+  CHECK((Status == 202 || refusedFor(reason::NeverFits)));
+}
+
+namespace {
+struct lateness_case {
+  std::size_t TasksAhead; ///< of the same team, each declared as long
+  std::size_t Tasks;
+  milliseconds TimeLimit;
+  bool IsLate;
+};
+} // namespace
+
+TEST_CASE_METHOD(admission_fixture, "only jobs that are sure to be late are "
+                                    "refused for lateness") {
+  // A declared time of 10 s may stand for 1 s, and for 0.5 s on a fast target.
+  const auto Case = GENERATE(values<lateness_case>({
+      {0, 1, milliseconds(600), false},
+      {0, 1, milliseconds(500), true},
+      {0, 80, milliseconds(5'100), false},
+      {0, 80, milliseconds(4'900), true},
+      {88, 1, milliseconds(5'700), false}, // 80 queued, 8 running
+      {88, 1, milliseconds(5'000), true},
+  }));
+  if (Case.TasksAhead > 0) {
+    REQUIRE(submit(1, "a", Case.TasksAhead, Long, 60 * Long) == 202);
+    advance(milliseconds(200));
+  }
+  CAPTURE(Case.TasksAhead, Case.Tasks, Case.TimeLimit.count());
+  CHECK(submit(2, "a", Case.Tasks, Long, Case.TimeLimit) ==
+        (Case.IsLate ? 503 : 202));
+  CHECK((!Case.IsLate || refusedFor(reason::TooLate)));
+  CHECK(submit(3, "b", 1, Long, milliseconds(600)) == 202);
+}
