Settle attempts by one table, with answered stops, leases and retry budgets

Cause: a lost reply failed every job, a failed one too, stops had no answer and a target that vanished held its slots until the deadline. Change: attempt_table.cpp holds state x input -> next state, action, reason for repeatable, single-start and abandoned attempts. Stops are events with answers, one under way for each attempt. Leases are renewed in one batch a target, one under way; after two without an answer a repeatable attempt is stopped, and its lease counts as over a lease after each renewal that may have arrived late, and only if the start is known to have arrived or can't any more (the connection is refused). Retries are bounded by the task's attempts, a budget a team and a budget a target. The stand-in no longer renews a lease that is over. Ruled out: the lease's end alone as proof; the explorer finds two attempts alive for a start that is still on its way. Tests: attempt_table_test walks every order of two attempts' events, and finds a broken promise for each of ten rules when it is taken out. A killed target first left repeatable tasks to the deadline (15 s), since each refused stop put the lease's end off; the unit test failed first, now the job ends complete.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -1,6 +1,8 @@
 /// Every tunable of the dispatcher, with its unit.
 #pragma once
 
+#include "tarragonbridge/retry_budget.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -30,8 +32,16 @@
 // Attempts.
 constexpr milliseconds TaskLease{2'000};
 constexpr milliseconds LeaseRenewInterval{500};
+constexpr milliseconds LeaseMargin{500};
+constexpr milliseconds RenewTimeout{1'000};
+constexpr std::uint32_t MaxUnansweredRenewals = 2;
+constexpr milliseconds StopTimeout{1'000};
 constexpr milliseconds RefusalBackoff{20};
+constexpr milliseconds RetryBackoff{10};
+constexpr milliseconds MaxBackoff{1'000};
 constexpr std::uint32_t MaxAttemptsPerTask = 5;
+constexpr retry_budget_limits TeamRetryBudget{.PerAttempt = 0.2, .Burst = 100};
+constexpr retry_budget_limits TargetRetryBudget{.PerAttempt = 0.2, .Burst = 10};
 
 // Learnt run times.
 constexpr double RunTimeMemoryTasks = 200; ///< finished tasks that weigh most
@@ -45,6 +55,7 @@
 constexpr milliseconds MaxUploadTime{10'000};
 constexpr milliseconds ConnectTimeout{1'000};
 constexpr long MaxConnectionsPerTarget = 20;
+constexpr long ControlConnectionsPerTarget = 2; ///< for renewals and stops
 
 // The platform's store.
 constexpr milliseconds StoreTimeout{3'000};
--- a/include/tarragonbridge/event.h
+++ b/include/tarragonbridge/event.h
@@ -16,11 +16,12 @@
 struct shutdown_requested {};
 struct timer_fired {};
 
-using event = std::variant<session_requested, job_submitted, job_queried,
-                           job_cancelled, status_requested, // callers
-                           task_replied, leases_answered,   // targets
-                           hosts_listed, settings_loaded,   // platform
-                           shutdown_requested, timer_fired>;
+using event =
+    std::variant<session_requested, job_submitted, job_queried, job_cancelled,
+                 status_requested,                             // callers
+                 task_replied, leases_answered, stop_answered, // targets
+                 hosts_listed, settings_loaded,                // platform
+                 shutdown_requested, timer_fired>;
 
 /// Writes one line of key=value pairs.
 struct log_line {
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -46,6 +46,15 @@
   TargetUnreachable,
   TargetError,
   TargetLost,
+  TargetSilent,
+  AttemptStopped,
+  AttemptEnded,
+  AttemptUnseen,
+  LeaseOver,
+  StopUnanswered,
+  RenewalUnanswered,
+  AttemptsUsedUp,
+  RetryBudgetEmpty,
   // Replies that were counted and not used.
   LateReply,
   Count
--- a/include/tarragonbridge/target.h
+++ b/include/tarragonbridge/target.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "tarragonbridge/error.h"
+#include "tarragonbridge/ids.h"
 #include "tarragonbridge/job.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +49,15 @@
   std::string Message;                ///< error text, else empty
 };
 
+/// What a target said to a stop.
+enum class stop_result : std::uint8_t {
+  Stopped,     ///< was running, is not now
+  Ended,       ///< ended before
+  Unseen,      ///< not known, and will not start later
+  ProcessGone, ///< connection refused: a start on the way was lost as well
+  Unanswered,  ///< proves nothing
+};
+
 /// Reads the answer to POST /v1/tasks. Anything out of form is Unknown.
 ///
 /// @param[in] Status HTTP status
@@ -56,4 +67,17 @@
 target_reply parseTargetReply(int Status, std::string_view Body,
                               std::string_view TaskId, std::uint32_t Attempt);
 
+/// Reads the answer to POST /v1/stop. Anything out of form is Unanswered.
+stop_result parseStopReply(int Status, std::string_view Body);
+
+/// Reads the answer to POST /v1/leases/renew.
+///
+/// @param[in] Status HTTP status
+/// @param[in] Body body of the answer
+/// @param[in] Renewed attempts of the batch
+/// @returns those that were not running, nothing if the answer is out of form
+std::optional<std::vector<attempt_id>>
+parseLapsed(int Status, std::string_view Body,
+            const std::vector<attempt_id> &Renewed);
+
 } // namespace tarragonbridge
--- a/include/tarragonbridge/target_events.h
+++ b/include/tarragonbridge/target_events.h
@@ -19,7 +19,14 @@
 /// The answer to a batch of lease renewals.
 struct leases_answered {
   std::string Target;
-  std::vector<attempt_id> Lapsed;
+  std::vector<attempt_id> Renewed; ///< all of the batch
+  std::vector<attempt_id> Lapsed;  ///< those that were not running
+  bool IsAnswered = true;
+};
+struct stop_answered {
+  std::string Target;
+  attempt_id Id;
+  stop_result Result = stop_result::Unanswered;
 };
 
 // Effects.
@@ -36,6 +43,7 @@
 };
 /// Asks a target to stop an attempt.
 struct stop_task {
+  std::string Target;
   attempt_id Id;
   std::string Address;
 };
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -2,62 +2,158 @@
 
 #include "core/dispatch_p.h"
 #include "core/jobs_p.h"
+#include "core/retries_p.h"
 #include "tarragonbridge/config.h"
 
+#include <utility>
+
 namespace tarragonbridge {
 
 namespace {
-/// Forgets an attempt at its target.
-void releaseAttempt(dispatcher_state &State, const std::string &Name,
-                    const attempt_id &Id) {
-  const auto Target = State.Targets.find(Name);
-  if (Target != State.Targets.end() && Target->second.Running.erase(Id) != 0) {
-    --State.RunningTasks;
-  }
-}
+/// Everything that an action may need.
+struct attempt_context {
+  dispatcher_state &State;
+  target_record &Target;
+  const attempt_id &Id;
+  const target_reply &Reply;
+  instant Now;
+  effects &Effects;
+};
 
-/// @returns the job and task that an attempt belongs to, if they still wait for
-/// it
-task_record *findOpenTask(dispatcher_state &State, const attempt_id &Id) {
+/// @returns the job that still waits for the attempt, or nullptr
+job_record *findOpenJob(dispatcher_state &State, const attempt_id &Id) {
   const auto Found = State.Jobs.find(Id.Key);
   if (Found == State.Jobs.end() || Id.Task >= Found->second.Tasks.size()) {
     return nullptr;
   }
-  task_record &Task = Found->second.Tasks[Id.Task];
+  const task_record &Task = Found->second.Tasks[Id.Task];
   const bool IsOpen =
       Task.Phase == task_phase::Running && Task.Attempts == Id.Attempt;
-  return IsOpen ? &Task : nullptr;
+  return IsOpen ? &Found->second : nullptr;
 }
 
-void onDone(dispatcher_state &State, job_record &Job, task_record &Task,
-            const target_reply &Reply, instant Now, effects &Effects) {
-  Effects.emplace_back(
-      observe_time{time_metric::TaskAtTarget, Now.Boot - Task.StartedAt});
+attempt_rule ruleOf(const job_record *Job) {
+  if (Job == nullptr) {
+    return attempt_rule::Abandoned;
+  }
+  return Job->Repeatable ? attempt_rule::Repeatable : attempt_rule::Once;
+}
+
+void learnRunTime(const attempt_context &Context, const job_record &Job,
+                  const attempt_record &Attempt) {
+  const task_record &Task = Job.Tasks[Context.Id.Task];
+  Context.State.RunTimes.learn(Job.Team, Job.Class, Task.Request.Expected,
+                               Context.Now.Boot - Attempt.StartedAt);
+}
+
+void complete(const attempt_context &Context, job_record &Job) {
+  task_record &Task = Job.Tasks[Context.Id.Task];
+  Context.Effects.emplace_back(observe_time{time_metric::TaskAtTarget,
+                                            Context.Now.Boot - Task.StartedAt});
   Task.Phase = task_phase::Settled;
-  Task.Output = Reply.Output;
+  Task.Output = Context.Reply.Output;
   --Job.Unsettled;
   if (Job.Unsettled == 0) {
-    completeJob(State, Job, Now, Effects);
+    completeJob(Context.State, Job, Context.Now, Context.Effects);
+  }
+}
+
+void fail(const attempt_context &Context, job_record &Job, reason Reason,
+          bool OutcomeKnown) {
+  failJob(Context.State, Job,
+          {Reason, OutcomeKnown, false, "run task", Context.Target.Host.Name,
+           Context.Reply.Message},
+          Context.Now, Context.Effects);
+}
+
+void retryEnded(const attempt_context &Context, job_record &Job,
+                attempt_input Input) {
+  task_record &Task = Job.Tasks[Context.Id.Task];
+  Task.Phase = task_phase::Settled;
+  if (takeRetry(Context.State, Job, Task)) {
+    retryLater(Context.State, Job, Context.Id.Task, Context.Now);
+    return;
+  }
+  const bool IsKnown = Input == attempt_input::Failed;
+  fail(Context, Job, IsKnown ? reason::TaskFailed : reason::RetriesExhausted,
+       IsKnown);
+}
+
+void act(const attempt_context &Context, job_record &Job, attempt_action Action,
+         attempt_input Input) {
+  task_record &Task = Job.Tasks[Context.Id.Task];
+  switch (Action) {
+  case attempt_action::None:
+  case attempt_action::Stop:
+    return;
+  case attempt_action::Complete:
+    complete(Context, Job);
+    return;
+  case attempt_action::Requeue:
+    requeueNotRun(Context.State, Job, Context.Id.Task, Context.Now);
+    return;
+  case attempt_action::Retry:
+    retryEnded(Context, Job, Input);
+    return;
+  case attempt_action::FailTask:
+    Task.Phase = task_phase::Settled;
+    fail(Context, Job, reason::TaskFailed, true);
+    return;
+  case attempt_action::FailUnknown:
+    // The attempt may still be out: failing the job stops it.
+    fail(Context, Job, reason::OutcomeUnknown, false);
+    return;
   }
 }
 
-void onNotRun(dispatcher_state &State, job_record &Job, const attempt_id &Id,
-              const target_reply &Reply, instant Now) {
-  task_record &Task = Job.Tasks[Id.Task];
-  State.Figures.Reasons.add(Reply.Reason);
-  ++Task.Refusals;
-  target_record &Target = State.Targets.at(Task.Target);
-  Target.FullUntil = Now.Boot + config::RefusalBackoff;
-  if (Reply.Reason == reason::TargetLeaving) {
-    Target.Host.State = host_state::Leaving;
-  }
-  setTimer(State, Target.FullUntil, timer_kind::Dispatch);
-  Task.Phase = task_phase::Queued;
-  Task.QueuedAt = Now.Boot;
-  enqueueTask(State, Job, Id.Task);
+attempt_input inputOf(reply_kind Kind) {
+  switch (Kind) {
+  case reply_kind::Done:
+    return attempt_input::Done;
+  case reply_kind::Failed:
+    return attempt_input::Failed;
+  case reply_kind::NotRun:
+    return attempt_input::NotRun;
+  case reply_kind::Unknown:
+    break;
+  }
+  return attempt_input::ReplyLost;
 }
 } // namespace
 
+void applyInput(dispatcher_state &State, target_record &Target,
+                const attempt_id &Id, attempt_input Input,
+                const target_reply &Reply, instant Now, effects &Effects) {
+  const auto Found = Target.Running.find(Id);
+  if (Found == Target.Running.end()) {
+    State.Figures.Reasons.add(reason::LateReply);
+    return;
+  }
+  job_record *Job = findOpenJob(State, Id);
+  const attempt_row &Row = findRow(attemptTable(), Found->second.State, Input);
+  const attempt_cell Cell = Row.Cells.at(static_cast<std::size_t>(ruleOf(Job)));
+  const bool HasEffect =
+      Cell.Next != Found->second.State || Cell.Action != attempt_action::None;
+  if (HasEffect && Row.Reason != reason::Count) {
+    State.Figures.Reasons.add(Row.Reason);
+  }
+  const attempt_context Context{State, Target, Id, Reply, Now, Effects};
+  Found->second.State = Cell.Next;
+  if (Input == attempt_input::Done && Job != nullptr) {
+    learnRunTime(Context, *Job, Found->second);
+  }
+  if (Cell.Action == attempt_action::Stop) {
+    sendStop(Target, Id, Found->second, Effects);
+  }
+  if (Cell.Next == attempt_state::Settled) {
+    Target.Running.erase(Found);
+    --State.RunningTasks;
+  }
+  if (Job != nullptr) {
+    act(Context, *Job, Cell.Action, Input);
+  }
+}
+
 void startAttempt(dispatcher_state &State, job_record &Job, std::uint32_t Index,
                   target_record &Target, instant Now, effects &Effects) {
   task_record &Task = Job.Tasks[Index];
@@ -68,10 +164,11 @@
       observe_time{time_metric::TaskQueueing, Now.Boot - Task.QueuedAt});
   Task.Target = Target.Host.Name;
   const attempt_id Id{Job.Key, Index, Task.Attempts};
-  Target.Running.insert(Id);
+  Target.Running.emplace(Id, attempt_record{Now.Boot});
   --State.QueuedTasks;
   ++State.RunningTasks;
   ++State.Figures.TasksStarted;
+  earnRetries(State, Job, Task, Target);
   if (!State.LeaseTimerSet) {
     State.LeaseTimerSet = true;
     setTimer(State, Now.Boot + config::LeaseRenewInterval,
@@ -83,6 +180,15 @@
                                   Task.Request.Payload, Task.Request.Needs});
 }
 
+void sendStop(target_record &Target, const attempt_id &Id,
+              attempt_record &Attempt, effects &Effects) {
+  if (Attempt.StopOut) {
+    return;
+  }
+  Attempt.StopOut = true;
+  Effects.emplace_back(stop_task{Target.Host.Name, Id, Target.Host.Address});
+}
+
 void requestStop(dispatcher_state &State, const job_record &Job,
                  std::uint32_t Index, effects &Effects) {
   const task_record &Task = Job.Tasks[Index];
@@ -90,71 +196,79 @@
   if (Target == State.Targets.end()) {
     return;
   }
-  Effects.emplace_back(
-      stop_task{{Job.Key, Index, Task.Attempts}, Target->second.Host.Address});
+  const attempt_id Id{Job.Key, Index, Task.Attempts};
+  const auto Attempt = Target->second.Running.find(Id);
+  if (Attempt != Target->second.Running.end()) {
+    sendStop(Target->second, Id, Attempt->second, Effects);
+  }
 }
 
 void onTaskReplied(dispatcher_state &State, const task_replied &Event,
                    instant Now, effects &Effects) {
   ++State.Figures.TaskReplies;
-  task_record *Task = findOpenTask(State, Event.Id);
-  releaseAttempt(State, Event.Target, Event.Id);
-  if (Task == nullptr) {
+  const auto Target = State.Targets.find(Event.Target);
+  if (Target == State.Targets.end()) {
     State.Figures.Reasons.add(reason::LateReply);
-    dispatchQueued(State, Now, Effects);
     return;
   }
-  job_record &Job = State.Jobs.at(Event.Id.Key);
-  const std::string Peer = Task->Target;
-  switch (Event.Reply.Kind) {
-  case reply_kind::Done:
-    onDone(State, Job, *Task, Event.Reply, Now, Effects);
+  const bool IsRefusal = Event.Reply.Kind == reply_kind::NotRun;
+  if (IsRefusal && Target->second.Running.contains(Event.Id)) {
+    noteRefusal(State, Target->second, Event.Reply.Reason, Now);
+  }
+  applyInput(State, Target->second, Event.Id, inputOf(Event.Reply.Kind),
+             Event.Reply, Now, Effects);
+  dispatchQueued(State, Now, Effects);
+}
+
+void onStopAnswered(dispatcher_state &State, const stop_answered &Event,
+                    instant Now, effects &Effects) {
+  const auto Target = State.Targets.find(Event.Target);
+  if (Target == State.Targets.end()) {
+    return;
+  }
+  const auto Found = Target->second.Running.find(Event.Id);
+  if (Found == Target->second.Running.end()) {
+    return; // the attempt's own reply came first
+  }
+  attempt_record &Attempt = Found->second;
+  Attempt.StopOut = false;
+  const auto Apply = [&](attempt_input Input) {
+    applyInput(State, Target->second, Event.Id, Input, {}, Now, Effects);
+  };
+  switch (Event.Result) {
+  case stop_result::Stopped:
+    Apply(attempt_input::Stopped);
     break;
-  case reply_kind::NotRun:
-    onNotRun(State, Job, Event.Id, Event.Reply, Now);
+  case stop_result::Ended:
+    Attempt.HeardAt = Now.Boot; // the reply gets a lease's time to arrive
+    Apply(attempt_input::HadEnded);
     break;
-  case reply_kind::Failed:
-    Task->Phase = task_phase::Settled;
-    failJob(State, Job,
-            {reason::TaskFailed, true, false, "run task", Peer,
-             Event.Reply.Message},
-            Now, Effects);
+  case stop_result::Unseen:
+    Attempt.HeardAt = Now.Boot;
+    Apply(attempt_input::Unseen);
     break;
-  case reply_kind::Unknown:
-    Task->Phase = task_phase::Settled;
-    failJob(State, Job,
-            {reason::OutcomeUnknown, false, false, "run task", Peer,
-             Event.Reply.Message},
-            Now, Effects);
+  case stop_result::ProcessGone:
+    // From now on the start can't arrive any more: the lease, if any, runs out.
+    Attempt.HeardAt = Attempt.Received ? Attempt.HeardAt : Now.Boot;
+    Attempt.Received = true;
+    break;
+  case stop_result::Unanswered:
+    State.Figures.Reasons.add(reason::StopUnanswered);
     break;
   }
   dispatchQueued(State, Now, Effects);
 }
 
-void onLeasesAnswered(dispatcher_state &State, const leases_answered &Event) {
-  // The reply to the attempt itself tells the end; this only counts.
-  for (std::size_t Index = 0; Index < Event.Lapsed.size(); ++Index) {
-    State.Figures.Reasons.add(reason::TargetLapsed);
-  }
-}
-
-void onRenewLeases(dispatcher_state &State, instant Now, effects &Effects) {
-  State.LeaseTimerSet = false;
-  for (const auto &[Name, Target] : State.Targets) {
-    if (Target.Running.empty()) {
-      continue;
-    }
-    Effects.emplace_back(
-        renew_leases{Name,
-                     Target.Host.Address,
-                     config::TaskLease,
-                     {Target.Running.begin(), Target.Running.end()}});
-    State.LeaseTimerSet = true;
-  }
-  if (State.LeaseTimerSet) {
-    setTimer(State, Now.Boot + config::LeaseRenewInterval,
-             timer_kind::RenewLeases);
+void onRetryDue(dispatcher_state &State, const std::string &Key,
+                std::uint32_t Task, instant Now) {
+  const auto Found = State.Jobs.find(Key);
+  if (Found == State.Jobs.end() ||
+      Found->second.Tasks[Task].Phase != task_phase::BackingOff) {
+    return;
   }
+  Found->second.Tasks[Task].Phase = task_phase::Queued;
+  Found->second.Tasks[Task].QueuedAt = Now.Boot;
+  enqueueTask(State, Found->second, Task);
 }
 
 } // namespace tarragonbridge
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -1,12 +1,26 @@
 #include "core/placement_p.h"
 
+#include "tarragonbridge/config.h"
+
+#include <algorithm>
+
 namespace tarragonbridge {
 
 namespace {
+/// @returns how many attempts this host may have out at the target
+///
+/// @remarks An attempt holds its connection until the reply. One past the
+/// connections would wait unsent, and its lease could not be renewed.
+std::size_t attemptLimit(const target_record &Target) {
+  constexpr std::size_t Connections =
+      config::MaxConnectionsPerTarget - config::ControlConnectionsPerTarget;
+  return std::min<std::size_t>(Target.Host.Slots, Connections);
+}
+
 bool hasRoom(const target_record &Target, const resources &Needs, instant Now) {
   return Target.Listed && Target.Host.State == host_state::Live &&
          Target.FullUntil <= Now.Boot &&
-         Target.Running.size() < Target.Host.Slots &&
+         Target.Running.size() < attemptLimit(Target) &&
          Needs.fitsIn(Target.Host.Capacity);
 }
 } // namespace
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,6 +1,7 @@
 #include "core/attempts_p.h"
 #include "core/dispatch_p.h"
 #include "core/jobs_p.h"
+#include "core/leases_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
 
@@ -55,6 +56,10 @@
   case timer_kind::RenewLeases:
     onRenewLeases(State, Now, Effects);
     break;
+  case timer_kind::Retry:
+    onRetryDue(State, Timer.Key, Timer.Task, Now);
+    dispatchQueued(State, Now, Effects);
+    break;
   }
 }
 
@@ -91,7 +96,10 @@
     onTaskReplied(State, Event, Now, Effects);
   }
   void operator()(const leases_answered &Event) const {
-    onLeasesAnswered(State, Event);
+    onLeasesAnswered(State, Event, Now, Effects);
+  }
+  void operator()(const stop_answered &Event) const {
+    onStopAnswered(State, Event, Now, Effects);
   }
   void operator()(const hosts_listed &Event) const {
     onHostsListed(State, Event, Now, Effects);
@@ -128,8 +136,8 @@
 }
 
 void setTimer(dispatcher_state &State, boot_time When, timer_kind Kind,
-              std::string Key) {
-  State.Timers.emplace(When, timer{Kind, std::move(Key)});
+              std::string Key, std::uint32_t Task) {
+  State.Timers.emplace(When, timer{Kind, std::move(Key), Task});
 }
 
 std::vector<effect> reduce(dispatcher_state &State, const event &Event,
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -1,7 +1,10 @@
 /// State of the dispatcher, internal to the reducer's modules.
 #pragma once
 
+#include "core/attempt_table_p.h"
+#include "tarragonbridge/config.h"
 #include "tarragonbridge/dispatcher.h"
+#include "tarragonbridge/retry_budget.h"
 #include "tarragonbridge/run_times.h"
 
 #include <deque>
@@ -16,9 +19,10 @@
 
 /// What a task is doing.
 enum class task_phase : std::uint8_t {
-  Queued,  ///< waits for a target
-  Running, ///< an attempt is out
-  Settled, ///< ended, or its outcome is unknown
+  Queued,     ///< waits for a target
+  BackingOff, ///< waits before it is queued again
+  Running,    ///< an attempt is out
+  Settled,    ///< ended, or its outcome is unknown
 };
 
 struct task_record {
@@ -68,12 +72,25 @@
   std::vector<waiter> Waiters;
 };
 
+/// An attempt that is out, until it is known to have ended.
+struct attempt_record {
+  boot_time StartedAt;
+  boot_time HeardAt = StartedAt; ///< latest proof that its lease had not ended
+  attempt_state State = attempt_state::Sent;
+  bool Received = false;        ///< the start arrived, or never will
+  bool StopOut = false;         ///< a stop waits for its answer
+  std::uint32_t Unanswered = 0; ///< renewals sent since the last answer
+};
+
 /// A target as listed, and what this host has out at it.
 struct target_record {
   host_entry Host;
   bool Listed = true;
-  std::set<attempt_id> Running;
-  boot_time FullUntil; ///< no start before this after a refusal
+  std::map<attempt_id, attempt_record> Running;
+  boot_time FullUntil;        ///< no start before this after a refusal
+  std::uint32_t Refusals = 0; ///< in a row
+  bool RenewalOut = false;    ///< a batch of renewals waits for its answer
+  retry_budget Budget{config::TargetRetryBudget};
 };
 
 /// A queued task: job key and index.
@@ -88,12 +105,14 @@
   Forget,
   Wait,
   Dispatch,
-  RenewLeases
+  RenewLeases,
+  Retry
 };
 
 struct timer {
   timer_kind Kind = timer_kind::Dispatch;
-  std::string Key; ///< job, for Deadline, Forget and Wait
+  std::string Key;        ///< job, for Deadline, Forget, Wait and Retry
+  std::uint32_t Task = 0; ///< for Retry
 };
 
 struct dispatcher_state {
@@ -112,6 +131,7 @@
   bool ShuttingDown = false;
   bool ShutdownTold = false;
   run_times RunTimes;
+  std::map<std::string, retry_budget, std::less<>> RetryBudgets; ///< by team
   std::mt19937_64 Random;
   dispatcher_figures Figures;
 };
@@ -120,6 +140,6 @@
 using effects = std::vector<effect>;
 
 void setTimer(dispatcher_state &State, boot_time When, timer_kind Kind,
-              std::string Key = "");
+              std::string Key = "", std::uint32_t Task = 0);
 
 } // namespace tarragonbridge
--- a/src/daemon/target_calls.cpp
+++ b/src/daemon/target_calls.cpp
@@ -26,6 +26,13 @@
                           Id.Attempt);
 }
 
+stop_result readStopReply(const http_result &Result) {
+  if (Result.IsRefused) {
+    return stop_result::ProcessGone;
+  }
+  return parseStopReply(Result.Status, Result.Body);
+}
+
 std::string renewBody(const renew_leases &Effect) {
   std::string Body = R"({"lease_ms":)" + std::to_string(Effect.Lease.count()) +
                      R"(,"tasks":[)";
@@ -57,15 +64,27 @@
   Call.Url = "http://" + Effect.Address + "/v1/stop";
   Call.Body = R"({"task":)" + quoteJson(formatTaskId(Effect.Id)) +
               R"(,"attempt":)" + std::to_string(Effect.Id.Attempt) + "}";
-  Client.send(std::move(Call), [](http_result &&) {});
+  Call.Timeout = config::StopTimeout;
+  Client.send(std::move(Call), [this, Target = Effect.Target,
+                                Id = Effect.Id](http_result &&Result) {
+    Sink(stop_answered{Target, Id, readStopReply(Result)});
+  });
 }
 
 void target_calls::renew(const renew_leases &Effect) {
   http_call Call;
   Call.Url = "http://" + Effect.Address + "/v1/leases/renew";
   Call.Body = renewBody(Effect);
-  Call.Timeout = Effect.Lease;
-  Client.send(std::move(Call), [](http_result &&) {});
+  Call.Timeout = config::RenewTimeout;
+  Client.send(std::move(Call), [this, Target = Effect.Target,
+                                Renewed =
+                                    Effect.Attempts](http_result &&Result) {
+    auto Lapsed = parseLapsed(Result.Status, Result.Body, Renewed);
+    const bool IsAnswered = Lapsed.has_value();
+    Sink(leases_answered{Target, Renewed,
+                         std::move(Lapsed).value_or(std::vector<attempt_id>{}),
+                         IsAnswered});
+  });
 }
 
 } // namespace tarragonbridge
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
 #include <curl/curl.h>
 #include <mutex>
@@ -190,6 +191,10 @@
   } else {
     Result.Error = curl_easy_strerror(Code);
     Result.WasSent = mayHaveLeft(*Transfer, Code);
+    long SystemError = 0;
+    curl_easy_getinfo(Easy, CURLINFO_OS_ERRNO, &SystemError);
+    Result.IsRefused =
+        Code == CURLE_COULDNT_CONNECT && SystemError == ECONNREFUSED;
   }
   curl_multi_remove_handle(Multi, Easy);
   Idle.push_back(Easy);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -20,8 +20,9 @@
 };
 
 struct http_result {
-  bool WasSent = true; ///< false: no connection was made, so no byte left
-  int Status = 0;      ///< 0: no answer
+  bool IsRefused = false; ///< no process listens at the address
+  bool WasSent = true;    ///< false: no connection was made, so no byte left
+  int Status = 0;         ///< 0: no answer
   std::string Body;
   std::string ETag;
   std::string Error; ///< text when Status is 0
--- a/tools/standins/target_standin.cpp
+++ b/tools/standins/target_standin.cpp
@@ -89,6 +89,7 @@
 
 private:
   void handle(request_handle Handle, const http_request &Request) {
+    endDueTasks(); // a lease that is over can't be renewed after a pause
     if (Request.Path == "/v1/usage") {
       Server.respond(Handle, respondJson(StatusOk, usage()));
       return;
