--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -148,6 +148,7 @@
   if (Cell.Next == attempt_state::Settled) {
     Target.Running.erase(Found);
     --State.RunningTasks;
+    releaseCharge(State, Id, Now);
   }
   if (Job != nullptr) {
     act(Context, *Job, Cell.Action, Input);
@@ -165,7 +166,6 @@
   Task.Target = Target.Host.Name;
   const attempt_id Id{Job.Key, Index, Task.Attempts};
   Target.Running.emplace(Id, attempt_record{Now.Boot});
-  --State.QueuedTasks;
   ++State.RunningTasks;
   ++State.Figures.TasksStarted;
   earnRetries(State, Job, Task, Target);
@@ -268,7 +268,7 @@
   }
   Found->second.Tasks[Task].Phase = task_phase::Queued;
   Found->second.Tasks[Task].QueuedAt = Now.Boot;
-  enqueueTask(State, Found->second, Task);
+  enqueueTask(State, Found->second, Task, Now);
 }
 
 } // namespace tarragonbridge
--- a/tests/unit/attempts_test.cpp
+++ b/tests/unit/attempts_test.cpp
@@ -50,21 +50,20 @@
   }));
   INFO(Row.Text);
   dispatcher_fixture Fixture;
-  Fixture.apply(hosts_listed{{dispatcher_fixture::target("t1", 8)}});
-  const auto Start =
-      only<start_task>(Fixture.submit("1", Row.Repeatable)).at(0);
+  Fixture.listTargets(1, 8, {64, 65'536, 0});
+  const auto Start = only<start_task>(Fixture.submit(1, Row.Repeatable)).at(0);
   std::vector<effect> Effects =
       Fixture.reply(Start, reply_kind::Unknown, reason::TargetLost);
   const auto Stops = only<stop_task>(Effects);
   REQUIRE(Stops.size() == 1);
   if (Row.Stop) {
-    append(Effects, Fixture.apply(stop_answered{"t1", Stops[0].Id, *Row.Stop}));
+    append(Effects, Fixture.apply(stop_answered{"t0", Stops[0].Id, *Row.Stop}));
   }
   // A stop without an answer of use is repeated and meets the same answer.
   for (milliseconds Past{}; Past < Row.Wait; Past += milliseconds(100)) {
     const auto Step = Fixture.advance(milliseconds(100));
     for (const stop_task &Again : only<stop_task>(Step)) {
-      append(Effects, Fixture.apply(stop_answered{"t1", Again.Id, *Row.Stop}));
+      append(Effects, Fixture.apply(stop_answered{"t0", Again.Id, *Row.Stop}));
     }
     append(Effects, Step);
   }
@@ -85,9 +84,8 @@
   }));
   INFO(Row.Text);
   dispatcher_fixture Fixture;
-  Fixture.apply(hosts_listed{{dispatcher_fixture::target("t1", 8)}});
-  const auto Start =
-      only<start_task>(Fixture.submit("1", Row.Repeatable)).at(0);
+  Fixture.listTargets(1, 8, {64, 65'536, 0});
+  const auto Start = only<start_task>(Fixture.submit(1, Row.Repeatable)).at(0);
   std::vector<effect> Effects =
       Fixture.reply(Start, Row.Kind, reason::TargetFull);
   append(Effects, Fixture.advance(milliseconds(200)));
@@ -103,12 +101,12 @@
           "ends",
           "[attempts]") {
   dispatcher_fixture Fixture;
-  Fixture.apply(hosts_listed{{dispatcher_fixture::target("t1", 1)}});
-  const auto Start = only<start_task>(Fixture.submit("1", true)).at(0);
+  Fixture.listTargets(1, 1, {64, 65'536, 0});
+  const auto Start = only<start_task>(Fixture.submit(1, true)).at(0);
   const auto Cancelled =
       Fixture.apply(job_cancelled{request_handle{2}, Start.Id.Key});
   CHECK(only<stop_task>(Cancelled).size() == 1);
-  CHECK(only<start_task>(Fixture.submit("2", true)).empty());
+  CHECK(only<start_task>(Fixture.submit(2, true)).empty());
   CHECK(only<stop_task>(Fixture.advance(milliseconds(900))).empty());
   const auto Stopped = Fixture.apply(
       stop_answered{Start.Target, Start.Id, stop_result::Stopped});
@@ -118,18 +116,18 @@
 TEST_CASE("an attempt that a target lost past its lease is started elsewhere",
           "[leases]") {
   dispatcher_fixture Fixture;
-  Fixture.apply(hosts_listed{{dispatcher_fixture::target("t1", 1)}});
-  const auto Start = only<start_task>(Fixture.submit("1", true)).at(0);
+  Fixture.listTargets(1, 1, {64, 65'536, 0});
+  const auto Start = only<start_task>(Fixture.submit(1, true)).at(0);
   const auto First = only<renew_leases>(Fixture.advance(milliseconds(500)));
   REQUIRE(First.size() == 1);
-  Fixture.apply(leases_answered{"t1", First[0].Attempts, {}, true});
-  // Renewals go unanswered: they stop, the attempt is asked to stop, and its
-  // lease runs out.
+  Fixture.apply(leases_answered{"t0", First[0].Attempts, {}, true});
+  // Renewals go unanswered: they stop, the attempt is asked to stop,
+  // and its lease runs out.
   std::vector<effect> Effects;
   for (int Round = 0; Round < 18 && only<start_task>(Effects).empty();
        ++Round) {
     append(Effects, Fixture.advance(milliseconds(500)));
-    Fixture.apply(leases_answered{"t1", {}, {}, false});
+    Fixture.apply(leases_answered{"t0", {}, {}, false});
   }
   CHECK(only<renew_leases>(Effects).size() == config::MaxUnansweredRenewals);
   CHECK(only<stop_task>(Effects).size() == 1);
@@ -141,12 +139,11 @@
 TEST_CASE("retries are bounded by the task's attempts and the team's budget",
           "[attempts]") {
   dispatcher_fixture Fixture;
-  Fixture.apply(hosts_listed{{dispatcher_fixture::target("t1", 18)}});
-  std::vector<start_task> Open;
-  std::uint64_t Sent = 0;
-  constexpr std::uint64_t Jobs = 200;
-  for (std::uint64_t Job = 0; Job < Jobs; ++Job) {
-    auto Effects = Fixture.submit(std::to_string(Job), true);
+  Fixture.listTargets(1, 18, {64, 65'536, 0});
+  std::size_t Sent = 0;
+  constexpr int Jobs = 200;
+  for (int Job = 0; Job < Jobs; ++Job) {
+    auto Effects = Fixture.submit(Job, true);
     for (int Round = 0; Round < 20; ++Round) {
       const auto Starts = only<start_task>(Effects);
       Sent += Starts.size();
--- a/tests/unit/dispatcher_fixture.h
+++ b/tests/unit/dispatcher_fixture.h
@@ -1,14 +1,16 @@
-/// A dispatcher under test, driven by events at given times.
+/// A dispatcher with listed targets, driven by hand.
 #pragma once
 
 #include "tarragonbridge/dispatcher.h"
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace tarragonbridge {
 
-/// Collects the effects of one kind.
+/// @returns the effects of one kind
 template <class T> std::vector<T> only(const std::vector<effect> &Effects) {
   std::vector<T> Found;
   for (const effect &Effect : Effects) {
@@ -19,25 +21,43 @@
   return Found;
 }
 
-class dispatcher_fixture {
-public:
-  explicit dispatcher_fixture(dispatcher_init Given = {})
-      : Init(std::move(Given)) {
-    Init.Self = {"curepipe", "cp-1", 7};
-    State = makeDispatcher(Init);
-  }
+/// Feeds events and keeps what came of them.
+struct dispatcher_fixture {
+  dispatcher State = makeDispatcher({{"curepipe", "cp-1", 7}, "", 1});
+  instant Now{boot_time(std::chrono::hours(1)),
+              wall_time(std::chrono::hours(400'000))};
+  std::vector<start_task> Started;
+  std::vector<stop_task> Stopped;
+  std::vector<answer_request> Answers;
 
   std::vector<effect> apply(const event &Event) {
-    return reduce(*State, Event, {Now, wall_time(Epoch + sinceStart())});
+    std::vector<effect> Effects = reduce(*State, Event, Now);
+    for (const effect &Effect : Effects) {
+      if (const auto *Start = std::get_if<start_task>(&Effect)) {
+        Started.push_back(*Start);
+      } else if (const auto *Stop = std::get_if<stop_task>(&Effect)) {
+        Stopped.push_back(*Stop);
+      } else if (const auto *Answer = std::get_if<answer_request>(&Effect)) {
+        Answers.push_back(*Answer);
+      }
+    }
+    return Effects;
   }
 
-  /// Lets time pass, firing every timer when it is due.
-  std::vector<effect> advance(milliseconds Step) {
+  /// Lets time pass and fires each timer when it is due.
+  std::vector<effect> advance(milliseconds Time) {
     std::vector<effect> All;
-    const boot_time Until = Now + Step;
-    for (auto Due = nextTimer(*State); Due && *Due <= Until;
-         Due = nextTimer(*State)) {
-      Now = std::max(Now, *Due);
+    const instant Until{Now.Boot + Time, Now.Wall + Time};
+    while (true) {
+      const auto Due = nextTimer(*State);
+      if (!Due || *Due > Until.Boot) {
+        break;
+      }
+      if (*Due > Now.Boot) {
+        Now.Boot = *Due;
+        Now.Wall =
+            Until.Wall - std::chrono::floor<milliseconds>(Until.Boot - *Due);
+      }
       for (effect &Effect : apply(timer_fired{})) {
         All.push_back(std::move(Effect));
       }
@@ -46,27 +66,43 @@
     return All;
   }
 
-  static host_entry target(const std::string &Name, std::uint32_t Slots) {
-    host_entry Host;
-    Host.Name = Name;
-    Host.FailureDomain = "curepipe";
-    Host.Address = Name + ":1";
-    Host.Slots = Slots;
-    Host.Capacity = {64, 65'536, 0};
-    return Host;
+  void listTargets(int Count, std::uint32_t Slots, resources Capacity) {
+    hosts_listed Event;
+    for (int Index = 0; Index < Count; ++Index) {
+      host_entry Host;
+      Host.Name = "t" + std::to_string(Index);
+      Host.FailureDomain = "curepipe";
+      Host.Slots = Slots;
+      Host.Capacity = Capacity;
+      Host.Connections = Slots;
+      Event.Hosts.push_back(Host);
+    }
+    apply(Event);
+  }
+
+  static std::string keyOf(int Number) {
+    return formatSession({"curepipe", "cp-1", 7}, 1) + "." +
+           std::to_string(Number);
   }
 
-  std::vector<effect> submit(const std::string &Number, bool Repeatable,
-                             std::size_t Tasks = 1) {
+  job_submitted job(int Number, const std::string &Team, std::size_t Tasks,
+                    resources Needs = {}) const {
     job_request Job;
-    Job.Key = formatSession(Init.Self, 1) + "." + Number;
-    Job.Team = "default";
-    Job.Class = "quote";
-    Job.SubmittedAt = wall_time(Epoch + sinceStart());
-    Job.TimeLimit = milliseconds(30'000);
-    Job.Repeatable = Repeatable;
-    Job.Tasks.resize(Tasks);
-    return apply(job_submitted{request_handle{1}, Job});
+    Job.Key = keyOf(Number);
+    Job.Team = Team;
+    Job.SubmittedAt = Now.Wall;
+    Job.TimeLimit = milliseconds(60'000);
+    Job.Tasks.resize(Tasks, task_request{"null", std::nullopt, Needs});
+    return {request_handle{1}, Job, true};
+  }
+
+  /// Submits a job of one task of team "default".
+  std::vector<effect> submit(int Number, bool Repeatable) {
+    job_submitted Event = job(Number, "default", 1);
+    Event.Async = false;
+    Event.Job.Class = "quote";
+    Event.Job.Repeatable = Repeatable;
+    return apply(Event);
   }
 
   std::vector<effect> reply(const start_task &Start, reply_kind Kind,
@@ -79,14 +115,26 @@
     return figures(*State).Reasons.get(Reason);
   }
 
-  dispatcher_init Init;
-  dispatcher State;
-  boot_time Now{milliseconds(1'000)};
+  /// Answers a started task as done.
+  void finish(const start_task &Task) {
+    apply(task_replied{
+        Task.Target, Task.Id, {reply_kind::Done, reason::TargetLost, "1", ""}});
+  }
+
+  void
+  loadTeams(const std::vector<std::pair<std::string, team_settings>> &All) {
+    settings_tree Tree = defaultSettings("curepipe");
+    Tree.Revision = figures(*State).SettingsRevision + 1;
+    for (const auto &[Name, Settings] : All) {
+      Tree.Teams[Name] = Settings;
+    }
+    apply(settings_loaded{Tree});
+  }
 
-private:
-  static constexpr milliseconds Epoch{1'790'000'000'000};
-  milliseconds sinceStart() const {
-    return std::chrono::floor<milliseconds>(Now.time_since_epoch());
+  std::size_t countStarted(int Number) const {
+    return std::count_if(
+        Started.begin(), Started.end(),
+        [&](const start_task &Task) { return Task.Id.Key == keyOf(Number); });
   }
 };
 
