--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -89,12 +89,13 @@
 
   offer_result start(job_record &Job, std::uint32_t Index, team_record &Team,
                      target_record &Target) {
-    task_record &Task = Job.Tasks[Index];
+    const task_record &Task = Job.Tasks[Index];
     const microseconds Cost =
         State.RunTimes.expected(Job.Team, Job.Class, Task.Request.Expected);
-    Task.Charge = {true, Now.Boot, Cost};
-    Team.Limiter.onStarted(Task.Request.Needs, Now.Boot);
-    startAttempt(State, Job, Index, Target, Now, Effects);
+    const resources &Needs = Task.Request.Needs;
+    Team.Limiter.onStarted(Needs, Now.Boot);
+    startAttempt(State, Job, Index, Target, Now, Effects).Charge = {
+        Job.Team, Needs, Cost};
     return {offer_outcome::Started, Cost, Task.Request.Payload.size()};
   }
 };
@@ -121,20 +122,11 @@
   State.Queues.serve(dispatch_pass{State, Now, Effects, {}});
 }
 
-void releaseCharge(dispatcher_state &State, const attempt_id &Id, instant Now) {
-  const auto Found = State.Jobs.find(Id.Key);
-  if (Found == State.Jobs.end()) {
-    return;
-  }
-  const job_record &Job = Found->second;
-  task_record &Task = Found->second.Tasks[Id.Task];
-  if (!Task.Charge.IsHeld || Task.Attempts != Id.Attempt) {
-    return;
-  }
-  Task.Charge.IsHeld = false;
-  State.Teams[Job.Team].Limiter.onEnded(Task.Request.Needs);
-  State.Queues.settle(Job.Team, Task.Charge.Cost,
-                      Now.Boot - Task.Charge.StartedAt);
+void releaseCharge(dispatcher_state &State, const attempt_record &Attempt,
+                   instant Now) {
+  const team_charge &Charge = Attempt.Charge;
+  State.Teams[Charge.Team].Limiter.onEnded(Charge.Needs);
+  State.Queues.settle(Charge.Team, Charge.Cost, Now.Boot - Attempt.StartedAt);
 }
 
 } // namespace tarragonbridge
--- a/src/core/dispatch_p.h
+++ b/src/core/dispatch_p.h
@@ -16,6 +16,7 @@
 void dispatchQueued(dispatcher_state &State, instant Now, effects &Effects);
 
 /// Frees what an attempt that has ended held of its team's limits.
-void releaseCharge(dispatcher_state &State, const attempt_id &Id, instant Now);
+void releaseCharge(dispatcher_state &State, const attempt_record &Attempt,
+                   instant Now);
 
 } // namespace tarragonbridge
--- a/tests/unit/dispatcher_fixture.h
+++ b/tests/unit/dispatcher_fixture.h
@@ -10,6 +10,17 @@
 
 namespace tarragonbridge {
 
+/// @returns the effects of one kind
+template <class T> std::vector<T> only(const std::vector<effect> &Effects) {
+  std::vector<T> Found;
+  for (const effect &Effect : Effects) {
+    if (const T *Match = std::get_if<T>(&Effect)) {
+      Found.push_back(*Match);
+    }
+  }
+  return Found;
+}
+
 /// Feeds events and keeps what came of them.
 struct dispatcher_fixture {
   dispatcher State = makeDispatcher({{"curepipe", "cp-1", 7}, "", 1});
@@ -19,21 +30,40 @@
   std::vector<stop_task> Stopped;
   std::vector<answer_request> Answers;
 
-  void apply(const event &Event) {
-    for (effect &Effect : reduce(*State, Event, Now)) {
-      if (auto *Start = std::get_if<start_task>(&Effect)) {
-        Started.push_back(std::move(*Start));
-      } else if (auto *Stop = std::get_if<stop_task>(&Effect)) {
-        Stopped.push_back(std::move(*Stop));
-      } else if (auto *Answer = std::get_if<answer_request>(&Effect)) {
-        Answers.push_back(std::move(*Answer));
+  std::vector<effect> apply(const event &Event) {
+    std::vector<effect> Effects = reduce(*State, Event, Now);
+    for (const effect &Effect : Effects) {
+      if (const auto *Start = std::get_if<start_task>(&Effect)) {
+        Started.push_back(*Start);
+      } else if (const auto *Stop = std::get_if<stop_task>(&Effect)) {
+        Stopped.push_back(*Stop);
+      } else if (const auto *Answer = std::get_if<answer_request>(&Effect)) {
+        Answers.push_back(*Answer);
       }
     }
+    return Effects;
   }
 
-  void advance(milliseconds Time) {
-    Now = {Now.Boot + Time, Now.Wall + Time};
-    apply(timer_fired{});
+  /// Lets time pass and fires each timer when it is due.
+  std::vector<effect> advance(milliseconds Time) {
+    std::vector<effect> All;
+    const instant Until{Now.Boot + Time, Now.Wall + Time};
+    while (true) {
+      const auto Due = nextTimer(*State);
+      if (!Due || *Due > Until.Boot) {
+        break;
+      }
+      if (*Due > Now.Boot) {
+        Now.Boot = *Due;
+        Now.Wall =
+            Until.Wall - std::chrono::floor<milliseconds>(Until.Boot - *Due);
+      }
+      for (effect &Effect : apply(timer_fired{})) {
+        All.push_back(std::move(Effect));
+      }
+    }
+    Now = Until;
+    return All;
   }
 
   /// Lists targets, and other entry hosts of the same failure domain.
@@ -75,6 +105,25 @@
     return {request_handle{1}, Job, true};
   }
 
+  /// Submits a job of one task of team "default".
+  std::vector<effect> submit(int Number, bool Repeatable) {
+    job_submitted Event = job(Number, "default", 1);
+    Event.Async = false;
+    Event.Job.Class = "quote";
+    Event.Job.Repeatable = Repeatable;
+    return apply(Event);
+  }
+
+  std::vector<effect> reply(const start_task &Start, reply_kind Kind,
+                            reason Reason = reason::Count) {
+    return apply(task_replied{
+        Start.Target, Start.Id, {Kind, Reason, "1", "told by the target"}});
+  }
+
+  std::uint64_t count(reason Reason) const {
+    return figures(*State).Reasons.get(Reason);
+  }
+
   /// Answers a started task as done.
   void finish(const start_task &Task) {
     apply(task_replied{
