Cancel in waves without a dispatch pass for each job

Cause: every cancellation and every deadline was followed by a dispatch pass, though a cancelled job frees no slot before its targets confirm.

Ruled out: remembering cancelled keys (jobs leave the queue at once already).

Change: a cancellation dispatches only when the job was among those that a pass offers; timers that fire together dispatch once, after all of them.

--- a/include/tarragonbridge/team_queues.h
+++ b/include/tarragonbridge/team_queues.h
@@ -105,6 +105,10 @@
   /// @remarks O(log of the team's queued jobs), however many tasks there are.
   queue_size erase(const std::string &Key);
 
+  /// @returns whether the job is among those that a pass offers, so that
+  /// erasing it lets another one be offered
+  bool isOffered(const std::string &Key) const;
+
   /// Offers queued tasks in order until none can start.
   template <task_offer F> void serve(F &&Offer);
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -153,10 +153,14 @@
   }
   job_record &Job = Found->second;
   if (Job.Phase == job_phase::Running) {
+    // Slots come free only when the targets confirm the end of attempts.
+    const bool MayStart = State.Queues.isOffered(Job.Key);
     failJob(State, Job,
             {reason::Cancelled, true, false, "cancel", "caller", ""}, Now,
             Effects);
-    dispatchQueued(State, Now, Effects);
+    if (MayStart) {
+      dispatchQueued(State, Now, Effects);
+    }
   }
   Effects.emplace_back(answerJob(Job, Event.Request));
 }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -59,41 +59,44 @@
   dispatchQueued(State, Now, Effects);
 }
 
-void fireTimer(dispatcher_state &State, const timer &Timer, instant Now,
+/// @returns whether queued tasks may start after it
+bool fireTimer(dispatcher_state &State, const timer &Timer, instant Now,
                effects &Effects) {
   switch (Timer.Kind) {
   case timer_kind::Deadline:
     onDeadline(State, Timer.Key, Now, Effects);
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   case timer_kind::Forget:
     onForget(State, Timer.Key);
-    break;
+    return false;
   case timer_kind::Wait:
     onWaitOver(State, Timer.Key, Now, Effects);
-    break;
+    return false;
   case timer_kind::Dispatch:
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   case timer_kind::RenewLeases:
     onRenewLeases(State, Now, Effects);
-    break;
+    return false;
   case timer_kind::Shares:
     onShareTimer(State, Now);
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   case timer_kind::Retry:
     onRetryDue(State, Timer.Key, Timer.Task, Now);
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   }
+  return false;
 }
 
+/// Fires all timers that are due, and then dispatches once.
 void fireDueTimers(dispatcher_state &State, instant Now, effects &Effects) {
+  bool MayStart = false;
   while (!State.Timers.empty() && State.Timers.begin()->first <= Now.Boot) {
     const timer Timer = std::move(State.Timers.begin()->second);
     State.Timers.erase(State.Timers.begin());
-    fireTimer(State, Timer, Now, Effects);
+    MayStart = fireTimer(State, Timer, Now, Effects) || MayStart;
+  }
+  if (MayStart) {
+    dispatchQueued(State, Now, Effects);
   }
 }
 
--- a/src/core/team_queues.cpp
+++ b/src/core/team_queues.cpp
@@ -163,6 +163,22 @@
   return Dropped;
 }
 
+bool team_queues::isOffered(const std::string &Key) const {
+  const auto Found = Entries.find(Key);
+  if (Found == Entries.end()) {
+    return false;
+  }
+  const auto &Jobs = Found->second.Team->Jobs;
+  auto Job = Jobs.begin();
+  for (std::size_t Passed = 0; Passed < MaxJobsScanned && Job != Jobs.end();
+       ++Passed, ++Job) {
+    if (Job->second == &*Found) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void team_queues::charge(team &Team, std::int64_t Time) {
   const bool IsQueued = Backlog.erase(&Team) != 0;
   Team.VirtualTime += Time;
--- a/tests/unit/team_queues_test.cpp
+++ b/tests/unit/team_queues_test.cpp
@@ -166,3 +166,15 @@
   CHECK(serve(Queues, 10)['0'] == 3);
   CHECK(Queues.size().Bytes == 0);
 }
+
+TEST_CASE("a job is offered while it is among the first of its team") {
+  team_queues Queues;
+  for (int Job = 0; Job < 10; ++Job) {
+    pushJob(Queues, std::to_string(Job), "a", 1, Job);
+  }
+  CHECK(Queues.isOffered("7"));
+  CHECK_FALSE(Queues.isOffered("8"));
+  Queues.erase("3");
+  CHECK(Queues.isOffered("8"));
+  CHECK_FALSE(Queues.isOffered("3"));
+}
