--- a/src/core/attempts_p.h
+++ b/src/core/attempts_p.h
@@ -5,8 +5,10 @@
 
 namespace tarragonbridge {
 
-void startAttempt(dispatcher_state &State, job_record &Job, std::uint32_t Index,
-                  target_record &Target, instant Now, effects &Effects);
+/// @returns the attempt that is out now
+attempt_record &startAttempt(dispatcher_state &State, job_record &Job,
+                             std::uint32_t Index, target_record &Target,
+                             instant Now, effects &Effects);
 
 /// Abandons the attempt that is out and asks its target to stop it.
 ///
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -4,6 +4,7 @@
 #include "core/attempt_table_p.h"
 #include "tarragonbridge/config.h"
 #include "tarragonbridge/dispatcher.h"
+#include "tarragonbridge/entry_load.h"
 #include "tarragonbridge/retry_budget.h"
 #include "tarragonbridge/run_times.h"
 #include "tarragonbridge/team_limits.h"
@@ -26,20 +27,12 @@
   Settled,    ///< ended, or its outcome is unknown
 };
 
-/// What an attempt that is out holds of its team's limits and service.
-struct task_charge {
-  bool IsHeld = false;
-  boot_time StartedAt;
-  microseconds Cost{}; ///< expected run time
-};
-
 struct task_record {
   task_request Request;
   task_phase Phase = task_phase::Queued;
   std::uint32_t Attempts = 0; ///< attempts sent so far
   std::uint32_t Refusals = 0; ///< attempts proved not run
   std::string Target;         ///< of the attempt that is out
-  task_charge Charge;         ///< of the attempt that is out
   boot_time NotBefore;        ///< earliest next attempt
   boot_time QueuedAt;
   boot_time StartedAt; ///< of the attempt that is out
@@ -75,12 +68,21 @@
   boot_time ReceivedAt;
   boot_time Deadline;
   boot_time ForgetAt;
+  boot_time Rank;          ///< order in the queue of its team
+  microseconds SureTime{}; ///< what one of its tasks surely takes
   std::vector<task_record> Tasks;
   std::size_t Unsettled = 0;
   job_failure Failure;
   std::vector<waiter> Waiters;
 };
 
+/// What an attempt holds of its team's limits and service.
+struct team_charge {
+  std::string Team;
+  resources Needs;
+  microseconds Cost{}; ///< expected run time
+};
+
 /// An attempt that is out, until it is known to have ended.
 struct attempt_record {
   boot_time StartedAt;
@@ -89,12 +91,14 @@
   bool Received = false;        ///< the start arrived, or never will
   bool StopOut = false;         ///< a stop waits for its answer
   std::uint32_t Unanswered = 0; ///< renewals sent since the last answer
+  team_charge Charge{};
 };
 
 /// A target as listed, and what this host has out at it.
 struct target_record {
   host_entry Host;
   bool Listed = true;
+  std::uint32_t SlotShare = 0; ///< slots that this host may use
   std::map<attempt_id, attempt_record> Running;
   boot_time FullUntil;        ///< no start before this after a refusal
   std::uint32_t Refusals = 0; ///< in a row
@@ -105,7 +109,16 @@
 /// Use of a team's limits by this host.
 struct team_record {
   team_limiter Limiter;
-  boot_time WakeAt; ///< latest timer set for its rate of starts
+  resources LargestNeeds; ///< of tasks queued since it was last idle
+  boot_time WakeAt;       ///< latest timer set for its rate of starts
+};
+
+/// What shares are computed from.
+struct share_state {
+  std::vector<entry_host> Others;
+  std::optional<entry_load> Told; ///< own load as told last
+  std::uint64_t UsableSlots = 0;  ///< at all targets
+  bool TimerSet = false;
 };
 
 /// What a timer is for.
@@ -115,6 +128,7 @@
   Wait,
   Dispatch,
   RenewLeases,
+  Shares,
   Retry
 };
 
@@ -124,6 +138,11 @@
   std::uint32_t Task = 0; ///< for Retry
 };
 
+/// What the listed targets offer.
+struct capacity_state {
+  std::vector<resources> Largest; ///< capacities that no other one contains
+};
+
 struct dispatcher_state {
   dispatcher_init Init;
   settings_tree Settings;
@@ -132,6 +151,8 @@
   std::map<std::string, target_record, std::less<>> Targets;
   std::map<std::string, team_record, std::less<>> Teams;
   team_queues Queues;
+  share_state Shares;
+  capacity_state Capacity;
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
   std::multimap<boot_time, timer> Timers;
