Add the scenario runner and the first scenarios

Cause: each promise is to be shown by real processes under kills, pauses, cuts and outages; one script with one daemon was all there was.

Ruled out: a parser of our own for scenarios, and shell scripts, which can't hold requests in flight or follow several answers.

Change: `scenario_runner` embeds Lua 5.4 with a few functions (start, signal, submit, result, check); tests/scenarios/lib/world.lua builds the words of the scenarios on them.

Not yet: settings edits, whole answers by another host, retries.

--- /dev/null
+++ b/tests/scenarios/lib/world.lua
@@ -0,0 +1,343 @@
+-- The words that scenarios are written in: hosts, targets, a store, callers, links
+-- and what can go wrong with each of them. Built on the table `runner`.
+local world = { hosts = {}, targets = {}, targetList = {}, stores = 0 }
+local BOUND_MS = 30000
+local proxy
+
+math.randomseed(runner.seed)
+
+-- Waiting and expecting ------------------------------------------------------
+
+local function waitFor(holds, what, boundMs)
+  local untilMs = runner.now() + (boundMs or BOUND_MS)
+  while runner.now() < untilMs do
+    local value = holds()
+    if value then return value end
+    runner.sleep(10)
+  end
+  error("never happened: " .. what, 2)
+end
+world.waitFor = waitFor
+
+function world.expect(holds, what)
+  if not holds then error("expected: " .. what, 2) end
+end
+
+function world.expectEqual(have, want, what)
+  if have ~= want then
+    error(what .. ": expected " .. tostring(want) .. ", have " .. tostring(have), 2)
+  end
+end
+
+-- @returns how much of something to do: `short` in CI, `long` in scripts/soak
+function world.length(short, long)
+  return os.getenv("SCENARIO_LONG") and long or short
+end
+
+-- HTTP -------------------------------------------------------------------------
+
+local function call(method, address, path, body, ...)
+  local number = runner.send(method, "http://" .. address .. path, body or "", ...)
+  return waitFor(function() return runner.result(number) end, method .. " " .. path, 70000)
+end
+world.call = call
+
+local function awaitServer(address, path)
+  waitFor(function() return call("GET", address, path).status ~= 0 end,
+    "an answer from " .. address .. path)
+end
+
+-- Links through the fault proxy ----------------------------------------------
+
+local function ensureProxy()
+  if proxy then return end
+  proxy = runner.freeAddress()
+  runner.start("proxy", "fault_proxy", "--listen", proxy, "--seed", tostring(runner.seed))
+  awaitServer(proxy, "/links")
+end
+
+local Link = {}
+Link.__index = Link
+
+function Link:set(faults)
+  local answer = call("POST", proxy, "/links/" .. self.name, runner.encode(faults))
+  world.expectEqual(answer.status, 200, "faults of " .. self.name .. " " .. answer.body)
+end
+-- Bytes wait and are delivered late, once the link is healed.
+function Link:hold(direction) self:set { held = true, direction = direction or "both" } end
+-- Connections break, and new ones as well.
+function Link:cut() self:set { reset = true } end
+function Link:delay(ms, jitterMs) self:set { delay_ms = ms, jitter_ms = jitterMs or 0 } end
+function Link:heal()
+  self:set { reset = false, held = false, delay_ms = 0, jitter_ms = 0, bytes_per_second = 0, drop_after_bytes = -1 }
+end
+
+local function link(name, to)
+  ensureProxy()
+  local answer = call("POST", proxy, "/links", runner.encode { name = name, to = to })
+  world.expectEqual(answer.status, 200, "link " .. name .. " " .. answer.body)
+  return setmetatable({ name = name, address = runner.decode(answer.body).listen }, Link)
+end
+
+-- The store ------------------------------------------------------------------
+
+local Store = {}
+Store.__index = Store
+
+function world.startStore(settings)
+  local address = runner.freeAddress()
+  local store = setmetatable({ address = address }, Store)
+  store.process = runner.start("store", "store_standin", "--listen", address)
+  awaitServer(address, "/admin/calls")
+  world.store = store
+  store:put("tarragonbridge/settings/",
+    '{"settings":' .. (settings or '{"failure_domains":["curepipe","port-louis"]}') .. "}")
+  store:put("tarragonbridge/settings/agents", '{"settings":{}}')
+  return store
+end
+
+function Store:put(key, value)
+  local body = runner.encode { key = runner.toBase64(key), value = runner.toBase64(value) }
+  world.expectEqual(call("POST", self.address, "/v3/kv/put", body).status, 200, "put " .. key)
+end
+
+function Store:get(key)
+  local answer = call("POST", self.address, "/v3/kv/range", runner.encode { key = runner.toBase64(key) })
+  local values = runner.decode(answer.body).kvs
+  return values and values[1] and runner.fromBase64(values[1].value)
+end
+
+function Store:set(faults)
+  world.expectEqual(call("POST", self.address, "/admin/faults", runner.encode(faults)).status, 200, "faults of the store")
+end
+function Store:down() self:set { down = true } end
+function Store:slow(ms) self:set { slow_ms = ms } end
+function Store:up() self:set { down = false } end
+
+-- Processes ------------------------------------------------------------------
+
+local function addSignals(class)
+  function class:signal(name)
+    world.expect(runner.signal(self.process, name), self.name .. " runs")
+  end
+  function class:kill()
+    self:signal("KILL")
+    world.expect(runner.wait(self.process, BOUND_MS), self.name .. " ended")
+  end
+  function class:pause() self:signal("STOP") end
+  function class:resume() self:signal("CONT") end
+end
+
+-- Targets ----------------------------------------------------------------------
+
+local Target = {}
+Target.__index = Target
+addSignals(Target)
+
+function Target:publish(state)
+  world.store:put("platform/hosts/" .. self.name, runner.encode {
+    role = "target", failure_domain = self.domain, rack = self.rack, address = self.link.address,
+    state = state, slots = self.slots, cores = 30, memory_mb = 65536, accelerators = 0, connections = 60 })
+end
+
+function Target:launch()
+  self.process = runner.start(self.name, "target_standin", "--listen", self.address, "--slots",
+    tostring(self.slots), "--speed", tostring(self.speed), "--record", runner.directory .. "/" .. self.name .. ".rec")
+  awaitServer(self.address, "/v1/usage")
+end
+
+-- Starts a target behind a link of its own; `name` is required.
+function world.startTarget(options)
+  local target = setmetatable({ name = options.name, domain = options.domain or "curepipe",
+    rack = options.rack or "r1", slots = options.slots or 8, speed = options.speed or 1 }, Target)
+  target.address = runner.freeAddress()
+  target.link = link("to-" .. target.name, target.address)
+  target:launch()
+  target:publish("live")
+  world.targets[target.name] = target
+  table.insert(world.targetList, target.name)
+  return target
+end
+
+function Target:starts(key) return runner.starts(self.name, key) end
+function Target:mode(mode)
+  world.expectEqual(call("POST", self.address, "/admin/mode", runner.encode(mode)).status, 200, "mode")
+end
+function Target:kill()
+  runner.record("down", self.name)
+  self:signal("KILL")
+  world.expect(runner.wait(self.process, BOUND_MS), self.name .. " ended")
+end
+function Target:pause()
+  runner.record("down", self.name)
+  self:signal("STOP")
+end
+-- The platform lists the target as leaving; it doesn't say so itself.
+function Target:leave()
+  self:publish("leaving")
+  runner.record("leaving", self.name)
+end
+
+-- Entry hosts --------------------------------------------------------------------
+
+local Host = {}
+Host.__index = Host
+addSignals(Host)
+
+function Host:launch()
+  self.process = runner.start(self.name, "tarragonbridged", "--config", self.config)
+  awaitServer(self.address, "/healthz")
+end
+
+-- Starts an entry host: `store` is its link to the store, `peers` that of its peers
+-- to it. `listed = false` leaves it out of the host list.
+function world.startHost(options)
+  local host = setmetatable({ name = options.name, domain = options.domain or "curepipe" }, Host)
+  host.address, host.peerAddress = runner.freeAddress(), runner.freeAddress()
+  host.store = link("store-of-" .. host.name, world.store.address)
+  host.peers = link("peers-of-" .. host.name, host.peerAddress)
+  if options.listed ~= false then host:publish("live") end
+  host.config = runner.writeFile(host.name .. ".json", runner.encode {
+    host = host.name, failure_domain = host.domain, listen = host.address,
+    peer_listen = host.peerAddress, store = { host.store.address } })
+  host:launch()
+  world.hosts[host.name] = host
+  return host
+end
+
+function Host:publish(state)
+  world.store:put("platform/hosts/" .. self.name, runner.encode {
+    role = "entry", failure_domain = self.domain, rack = "e-" .. self.name, address = self.address,
+    peer_address = self.peers.address, state = state })
+end
+
+function Host:restart()
+  self:kill()
+  self:launch()
+end
+
+function Host:status()
+  return runner.decode(call("GET", self.address, "/v1/status").body) or {}
+end
+
+-- @returns the sum of the metrics whose names match a pattern
+function Host:metric(pattern)
+  local sum = 0
+  for line in call("GET", self.address, "/metrics").body:gmatch("[^\n]+") do
+    local name, value = line:match("^(%S+) (%S+)$")
+    if name and name:find(pattern) then sum = sum + tonumber(value) end
+  end
+  return sum
+end
+
+-- Ends a host by SIGTERM; the exit code is given by `ended`.
+function Host:terminate() self:signal("TERM") end
+function Host:ended() return runner.wait(self.process, BOUND_MS) end
+
+-- Waits until a host knows its targets and its settings.
+function Host:awaitReady(targets)
+  waitFor(function()
+    return self:metric("^tarragonbridge_targets$") >= (targets or #world.targetList)
+       and self:metric("^tarragonbridge_settings_revision$") > 0
+  end, self.name .. " knows its targets")
+end
+
+-- Starts a store, hosts and targets by name, and waits until all are ready.
+function world.start(options)
+  world.startStore(options.settings)
+  local started = {}
+  for _, target in ipairs(options.targets or { { name = "t1" }, { name = "t2" } }) do
+    started[target.name] = world.startTarget(target)
+  end
+  for _, host in ipairs(options.hosts or { { name = "cp-1" } }) do
+    started[host.name] = world.startHost(host)
+  end
+  for _, host in pairs(world.hosts) do host:awaitReady() end
+  return started
+end
+
+-- Callers ------------------------------------------------------------------------
+
+local Job = {}
+Job.__index = Job
+local Session = {}
+Session.__index = Session
+
+function world.openSession(host)
+  local answer = call("POST", host.address, "/v1/sessions", "{}")
+  world.expectEqual(answer.status, 201, "session " .. answer.body)
+  return setmetatable({ name = runner.decode(answer.body).session, host = host, count = 0 }, Session)
+end
+
+-- Submits a job: `tasks` of them (default 1), `run_ms` each (default 50).
+function Session:submit(options)
+  self.count = self.count + 1
+  return world.submit(self.host, self.name .. "." .. self.count, options)
+end
+
+function world.submit(host, key, options)
+  options = options or {}
+  local job = setmetatable({ key = key, repeatable = options.repeatable or false, tasks = options.tasks or 1 }, Job)
+  local tasks = {}
+  for index = 0, job.tasks - 1 do
+    table.insert(tasks, {
+      payload = { run_ms = options.run_ms or 50, echo = key .. "#" .. index },
+      cores = options.cores or 1, expected_ms = options.expected_ms or options.run_ms or 50 })
+  end
+  job.body = runner.encode {
+    key = key, team = options.team or "agents", submitted_at_ms = runner.now(), home = options.home,
+    time_limit_ms = options.time_limit_ms or 20000, repeatable = job.repeatable, tasks = tasks }
+  job.first = job:resubmit(host)
+  return job
+end
+
+-- Sends the same submission again. @returns its call
+function Job:resubmit(host)
+  return runner.submit(host.address, self.key, self.body, self.repeatable, self.tasks)
+end
+
+-- Waits for the answer to one call of the job, by default the first.
+-- @returns the answer, with the HTTP status; `state` is "lost" when there is none
+function Job:answer(number)
+  local result = waitFor(function() return runner.result(number or self.first) end,
+    "an answer for " .. self.key, 70000)
+  local body = runner.decode(result.body) or { state = "lost" }
+  body.status = result.status
+  return body
+end
+
+-- Sends the submission to a host until it has a final answer.
+function Job:answerBy(host)
+  return waitFor(function()
+    local answer = self:answer(self:resubmit(host))
+    return (answer.state == "complete" or answer.state == "failed") and answer
+  end, "a final answer for " .. self.key)
+end
+
+function Job:starts()
+  local count = 0
+  for _, name in ipairs(world.targetList) do count = count + runner.starts(name, self.key) end
+  return count
+end
+
+function Job:awaitStarts(count)
+  waitFor(function() return self:starts() >= count end, count .. " starts of " .. self.key)
+end
+
+function Job:cancel(host) return call("DELETE", host.address, "/v1/jobs/" .. self.key) end
+
+function Job:expectComplete(number)
+  local answer = self:answer(number)
+  world.expectEqual(answer.state, "complete", "state of " .. self.key .. " " .. tostring(answer.reason))
+  world.expectEqual(#answer.results, self.tasks, "results of " .. self.key)
+end
+
+-- The end ----------------------------------------------------------------------------
+
+-- Checks every promise in the records of targets and callers.
+function world.check()
+  local breaches = runner.check(table.unpack(world.targetList))
+  if #breaches > 0 then error("broken promises:\n" .. table.concat(breaches, "\n"), 2) end
+end
+
+return world
