--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -1,7 +1,9 @@
 #include "core/dispatch_p.h"
 
 #include "core/attempts_p.h"
+#include "core/lateness_p.h"
 #include "core/placement_p.h"
+#include "core/teams_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -17,18 +19,6 @@
   return Bytes;
 }
 
-/// @returns when the job is due for its turn: its arrival plus a multiple of
-/// the time that it is expected to take
-boot_time rankOf(const dispatcher_state &State, const job_record &Job,
-                 instant Now) {
-  milliseconds Longest{};
-  for (const task_record &Task : Job.Tasks) {
-    Longest = std::max(Longest, State.RunTimes.expected(Job.Team, Job.Class,
-                                                        Task.Request.Expected));
-  }
-  return Now.Boot + config::QueueStretch * Longest;
-}
-
 /// Needs of tasks that found no target in one pass.
 class unplaced_needs {
 public:
@@ -54,12 +44,6 @@
   setTimer(State, Next, timer_kind::Dispatch);
 }
 
-team_limits limitsOf(const team_settings &Settings) {
-  team_limits Limits;
-  Limits.MaxRunningTasks = Settings.MaxRunningTasks;
-  return Limits;
-}
-
 /// One pass over the queues.
 struct dispatch_pass {
   dispatcher_state &State;
@@ -105,57 +89,44 @@
 
   offer_result start(job_record &Job, std::uint32_t Index, team_record &Team,
                      target_record &Target) {
-    task_record &Task = Job.Tasks[Index];
+    const task_record &Task = Job.Tasks[Index];
     const microseconds Cost =
         State.RunTimes.expected(Job.Team, Job.Class, Task.Request.Expected);
-    Task.Charge = {true, Now.Boot, Cost};
-    Team.Limiter.onStarted(Task.Request.Needs, Now.Boot);
-    startAttempt(State, Job, Index, Target, Now, Effects);
+    const resources &Needs = Task.Request.Needs;
+    Team.Limiter.onStarted(Needs, Now.Boot);
+    startAttempt(State, Job, Index, Target, Now, Effects).Charge = {
+        Job.Team, Needs, Cost};
     return {offer_outcome::Started, Cost, Task.Request.Payload.size()};
   }
 };
 } // namespace
 
-void configureTeams(dispatcher_state &State) {
-  for (const auto &[Name, Settings] : State.Settings.Teams) {
-    const team_limits Limits = limitsOf(Settings);
-    State.Queues.configure(Name, Settings.Urgency,
-                           {Limits.MaxQueuedTasks, Limits.MaxQueuedBytes});
-    State.Teams[Name].Limiter.setShare(wholeShare(Limits));
-  }
-}
-
 void enqueueTask(dispatcher_state &State, const job_record &Job,
-                 std::uint32_t Task, instant Now) {
-  State.Queues.requeue({Job.Key, Job.Team, rankOf(State, Job, Now), 1,
-                        Job.Tasks[Task].Request.Payload.size()},
+                 std::uint32_t Task) {
+  State.Queues.requeue({Job.Key, Job.Team, Job.Rank, 1,
+                        Job.Tasks[Task].Request.Payload.size(), Job.SureTime},
                        Task);
 }
 
-void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now) {
-  State.Queues.push({Job.Key, Job.Team, rankOf(State, Job, Now),
-                     static_cast<std::uint32_t>(Job.Tasks.size()),
-                     payloadBytes(Job)});
+void enqueueJob(dispatcher_state &State, job_record &Job, instant Now) {
+  noteNeeds(State, Job);
+  const auto Tasks = static_cast<std::uint32_t>(Job.Tasks.size());
+  const job_times Times = timesOf(State, Job);
+  Job.Rank = rankOf(Times, Now);
+  Job.SureTime = Times.SureTotal / std::max<std::uint32_t>(1, Tasks);
+  State.Queues.push(
+      {Job.Key, Job.Team, Job.Rank, Tasks, payloadBytes(Job), Job.SureTime});
 }
 
 void dispatchQueued(dispatcher_state &State, instant Now, effects &Effects) {
   State.Queues.serve(dispatch_pass{State, Now, Effects, {}});
 }
 
-void releaseCharge(dispatcher_state &State, const attempt_id &Id, instant Now) {
-  const auto Found = State.Jobs.find(Id.Key);
-  if (Found == State.Jobs.end()) {
-    return;
-  }
-  const job_record &Job = Found->second;
-  task_record &Task = Found->second.Tasks[Id.Task];
-  if (!Task.Charge.IsHeld || Task.Attempts != Id.Attempt) {
-    return;
-  }
-  Task.Charge.IsHeld = false;
-  State.Teams[Job.Team].Limiter.onEnded(Task.Request.Needs);
-  State.Queues.settle(Job.Team, Task.Charge.Cost,
-                      Now.Boot - Task.Charge.StartedAt);
+void releaseCharge(dispatcher_state &State, const attempt_record &Attempt,
+                   instant Now) {
+  const team_charge &Charge = Attempt.Charge;
+  State.Teams[Charge.Team].Limiter.onEnded(Charge.Needs);
+  State.Queues.settle(Charge.Team, Charge.Cost, Now.Boot - Attempt.StartedAt);
 }
 
 } // namespace tarragonbridge
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,12 +1,31 @@
 #include "core/attempts_p.h"
+#include "core/capacity_p.h"
 #include "core/dispatch_p.h"
+#include "core/entry_shares_p.h"
 #include "core/jobs_p.h"
+#include "core/leases_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
+#include "core/teams_p.h"
 
 namespace tarragonbridge {
 
 namespace {
+/// @returns the other entry hosts that are not leaving, their loads unknown
+std::vector<entry_host> listEntryHosts(const dispatcher_state &State,
+                                       const hosts_listed &Event) {
+  std::vector<entry_host> Others;
+  for (const host_entry &Host : Event.Hosts) {
+    const bool IsOther = Host.Role == host_role::Entry &&
+                         Host.State == host_state::Live &&
+                         Host.Name != State.Init.Self.Host;
+    if (IsOther) {
+      Others.push_back({Host.Name, Host.FailureDomain, std::nullopt});
+    }
+  }
+  return Others;
+}
+
 /// Joins the list with what this host has out at targets that left it.
 void onHostsListed(dispatcher_state &State, const hosts_listed &Event,
                    instant Now, effects &Effects) {
@@ -24,6 +43,9 @@
   std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Running.empty();
   });
+  refreshCapacity(State);
+  setEntryHosts(State, listEntryHosts(State, Event), Now);
+  startShareTimer(State, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -33,7 +55,7 @@
     return;
   }
   State.Settings = Event.Settings;
-  configureTeams(State);
+  configureTeams(State, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -56,6 +78,14 @@
   case timer_kind::RenewLeases:
     onRenewLeases(State, Now, Effects);
     break;
+  case timer_kind::Shares:
+    onShareTimer(State, Now);
+    dispatchQueued(State, Now, Effects);
+    break;
+  case timer_kind::Retry:
+    onRetryDue(State, Timer.Key, Timer.Task, Now);
+    dispatchQueued(State, Now, Effects);
+    break;
   }
 }
 
@@ -92,7 +122,10 @@
     onTaskReplied(State, Event, Now, Effects);
   }
   void operator()(const leases_answered &Event) const {
-    onLeasesAnswered(State, Event);
+    onLeasesAnswered(State, Event, Now, Effects);
+  }
+  void operator()(const stop_answered &Event) const {
+    onStopAnswered(State, Event, Now, Effects);
   }
   void operator()(const hosts_listed &Event) const {
     onHostsListed(State, Event, Now, Effects);
@@ -125,13 +158,13 @@
   State->Init = Init;
   State->Settings = defaultSettings(Init.Self.FailureDomain);
   State->Random.seed(Init.RandomSeed);
-  configureTeams(*State);
+  configureTeams(*State, {});
   return State;
 }
 
 void setTimer(dispatcher_state &State, boot_time When, timer_kind Kind,
-              std::string Key) {
-  State.Timers.emplace(When, timer{Kind, std::move(Key)});
+              std::string Key, std::uint32_t Task) {
+  State.Timers.emplace(When, timer{Kind, std::move(Key), Task});
 }
 
 std::vector<effect> reduce(dispatcher_state &State, const event &Event,
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -1,7 +1,11 @@
 /// State of the dispatcher, internal to the reducer's modules.
 #pragma once
 
+#include "core/attempt_table_p.h"
+#include "tarragonbridge/config.h"
 #include "tarragonbridge/dispatcher.h"
+#include "tarragonbridge/entry_load.h"
+#include "tarragonbridge/retry_budget.h"
 #include "tarragonbridge/run_times.h"
 #include "tarragonbridge/team_limits.h"
 #include "tarragonbridge/team_queues.h"
@@ -17,16 +21,10 @@
 
 /// What a task is doing.
 enum class task_phase : std::uint8_t {
-  Queued,  ///< waits for a target
-  Running, ///< an attempt is out
-  Settled, ///< ended, or its outcome is unknown
-};
-
-/// What an attempt that is out holds of its team's limits and service.
-struct task_charge {
-  bool IsHeld = false;
-  boot_time StartedAt;
-  microseconds Cost{}; ///< expected run time
+  Queued,     ///< waits for a target
+  BackingOff, ///< waits before it is queued again
+  Running,    ///< an attempt is out
+  Settled,    ///< ended, or its outcome is unknown
 };
 
 struct task_record {
@@ -35,7 +33,6 @@
   std::uint32_t Attempts = 0; ///< attempts sent so far
   std::uint32_t Refusals = 0; ///< attempts proved not run
   std::string Target;         ///< of the attempt that is out
-  task_charge Charge;         ///< of the attempt that is out
   boot_time NotBefore;        ///< earliest next attempt
   boot_time QueuedAt;
   boot_time StartedAt; ///< of the attempt that is out
@@ -71,24 +68,57 @@
   boot_time ReceivedAt;
   boot_time Deadline;
   boot_time ForgetAt;
+  boot_time Rank;          ///< order in the queue of its team
+  microseconds SureTime{}; ///< what one of its tasks surely takes
   std::vector<task_record> Tasks;
   std::size_t Unsettled = 0;
   job_failure Failure;
   std::vector<waiter> Waiters;
 };
 
+/// What an attempt holds of its team's limits and service.
+struct team_charge {
+  std::string Team;
+  resources Needs;
+  microseconds Cost{}; ///< expected run time
+};
+
+/// An attempt that is out, until it is known to have ended.
+struct attempt_record {
+  boot_time StartedAt;
+  boot_time HeardAt = StartedAt; ///< latest proof that its lease had not ended
+  attempt_state State = attempt_state::Sent;
+  bool Received = false;        ///< the start arrived, or never will
+  bool StopOut = false;         ///< a stop waits for its answer
+  std::uint32_t Unanswered = 0; ///< renewals sent since the last answer
+  team_charge Charge{};
+};
+
 /// A target as listed, and what this host has out at it.
 struct target_record {
   host_entry Host;
   bool Listed = true;
-  std::set<attempt_id> Running;
-  boot_time FullUntil; ///< no start before this after a refusal
+  std::uint32_t SlotShare = 0; ///< slots that this host may use
+  std::map<attempt_id, attempt_record> Running;
+  boot_time FullUntil;        ///< no start before this after a refusal
+  std::uint32_t Refusals = 0; ///< in a row
+  bool RenewalOut = false;    ///< a batch of renewals waits for its answer
+  retry_budget Budget{config::TargetRetryBudget};
 };
 
 /// Use of a team's limits by this host.
 struct team_record {
   team_limiter Limiter;
-  boot_time WakeAt; ///< latest timer set for its rate of starts
+  resources LargestNeeds; ///< of tasks queued since it was last idle
+  boot_time WakeAt;       ///< latest timer set for its rate of starts
+};
+
+/// What shares are computed from.
+struct share_state {
+  std::vector<entry_host> Others;
+  std::optional<entry_load> Told; ///< own load as told last
+  std::uint64_t UsableSlots = 0;  ///< at all targets
+  bool TimerSet = false;
 };
 
 /// What a timer is for.
@@ -97,12 +127,20 @@
   Forget,
   Wait,
   Dispatch,
-  RenewLeases
+  RenewLeases,
+  Shares,
+  Retry
 };
 
 struct timer {
   timer_kind Kind = timer_kind::Dispatch;
-  std::string Key; ///< job, for Deadline, Forget and Wait
+  std::string Key;        ///< job, for Deadline, Forget, Wait and Retry
+  std::uint32_t Task = 0; ///< for Retry
+};
+
+/// What the listed targets offer.
+struct capacity_state {
+  std::vector<resources> Largest; ///< capacities that no other one contains
 };
 
 struct dispatcher_state {
@@ -113,6 +151,8 @@
   std::map<std::string, target_record, std::less<>> Targets;
   std::map<std::string, team_record, std::less<>> Teams;
   team_queues Queues;
+  share_state Shares;
+  capacity_state Capacity;
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
   std::multimap<boot_time, timer> Timers;
@@ -120,6 +160,7 @@
   bool ShuttingDown = false;
   bool ShutdownTold = false;
   run_times RunTimes;
+  std::map<std::string, retry_budget, std::less<>> RetryBudgets; ///< by team
   std::mt19937_64 Random;
   dispatcher_figures Figures;
 };
@@ -128,6 +169,6 @@
 using effects = std::vector<effect>;
 
 void setTimer(dispatcher_state &State, boot_time When, timer_kind Kind,
-              std::string Key = "");
+              std::string Key = "", std::uint32_t Task = 0);
 
 } // namespace tarragonbridge
