Stop a dispatch pass once nothing more can be placed

Cause: with all slots taken and a backlog in 44 teams, each reply offered up to eight jobs of every team, all of them in vain.

Ruled out: fewer offers to each team (a team behind tasks that fit nowhere would wait); counting free slots (refused and leaving targets have some).

--- a/include/tarragonbridge/team_queues.h
+++ b/include/tarragonbridge/team_queues.h
@@ -53,6 +53,7 @@
   Started,   ///< the task leaves the queue
   NoTarget,  ///< this task has to wait, another job's may fit
   TeamBound, ///< the team may not start anything now
+  Stop,      ///< nothing more can start in this pass
 };
 
 struct offer_result {
@@ -205,7 +206,8 @@
       return Job;
     }
     Team.WasBound = Result.Outcome == offer_outcome::TeamBound;
-    if (Team.WasBound || ++Scanned == MaxJobsScanned) {
+    if (Result.Outcome != offer_outcome::NoTarget ||
+        ++Scanned == MaxJobsScanned) {
       return nullptr;
     }
   }
@@ -218,6 +220,9 @@
   while (Position != Backlog.end()) {
     offer_result Result;
     entries::value_type *Job = offerJobs(**Position, Offer, Result);
+    if (Result.Outcome == offer_outcome::Stop) {
+      return;
+    }
     Position = Job == nullptr ? std::next(Position)
                               : onStarted(Position, *Job, Result);
   }
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -64,8 +64,7 @@
     }
     target_record *Target = chooseTarget(State, Job, Task, Now);
     if (Target == nullptr) {
-      onUnplaced(Task);
-      return {offer_outcome::NoTarget};
+      return {onUnplaced(Task)};
     }
     return start(Job, Index, Team, *Target);
   }
@@ -80,11 +79,15 @@
     return {DependsOnTask ? offer_outcome::NoTarget : offer_outcome::TeamBound};
   }
 
-  void onUnplaced(const task_record &Task) {
+  offer_outcome onUnplaced(const task_record &Task) {
     // A retried task may be kept from targets that others can use.
-    if (Task.Attempts == 0) {
-      Unplaced.add(Task.Request.Needs);
+    if (Task.Attempts != 0) {
+      return offer_outcome::NoTarget;
     }
+    const resources &Needs = Task.Request.Needs;
+    Unplaced.add(Needs);
+    const bool IsSmallest = Needs.fitsIn(State.SmallestNeeds);
+    return IsSmallest ? offer_outcome::Stop : offer_outcome::NoTarget;
   }
 
   offer_result start(job_record &Job, std::uint32_t Index, team_record &Team,
@@ -103,14 +106,15 @@
 
 void enqueueTask(dispatcher_state &State, const job_record &Job,
                  std::uint32_t Task) {
+  noteNeeds(State, Job, Task, Task + 1);
   State.Queues.requeue({Job.Key, Job.Team, Job.Rank, 1,
                         Job.Tasks[Task].Request.Payload.size(), Job.SureTime},
                        Task);
 }
 
 void enqueueJob(dispatcher_state &State, job_record &Job, instant Now) {
-  noteNeeds(State, Job);
   const auto Tasks = static_cast<std::uint32_t>(Job.Tasks.size());
+  noteNeeds(State, Job, 0, Tasks);
   const job_times Times = timesOf(State, Job);
   Job.Rank = rankOf(Times, Now);
   Job.SureTime = Times.SureTotal / std::max<std::uint32_t>(1, Tasks);
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -153,6 +153,7 @@
   team_queues Queues;
   share_state Shares;
   capacity_state Capacity;
+  resources SmallestNeeds; ///< of tasks queued since nothing was queued
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
   std::multimap<boot_time, timer> Timers;
--- a/src/core/teams_p.h
+++ b/src/core/teams_p.h
@@ -11,7 +11,11 @@
 /// Takes over urgencies, bounds and limits of teams from the settings.
 void configureTeams(dispatcher_state &State, instant Now);
 
-/// Notes the needs of a job that is about to be queued.
-void noteNeeds(dispatcher_state &State, const job_record &Job);
+/// Notes the needs of tasks that are about to be queued.
+///
+/// @param[in] Begin first task of the job
+/// @param[in] End one past the last
+void noteNeeds(dispatcher_state &State, const job_record &Job,
+               std::uint32_t Begin, std::uint32_t End);
 
 } // namespace tarragonbridge
