Let any entry host answer for any session key

Cause: a submission at a host that is not its key's home was refused, so only one of six to eight hosts behind the balancer could serve it.

Hosts now talk by JSON-RPC on peer_listen: claim (batched, one batch out for each home), fetch and heartbeat. The library checks method and parameter types; the text is read strictly before and after, refused input is counted and changes nothing. Its headers need C++14, so they stay in one unit behind net/peer_rpc.h; calls and replies are written and read apart from the connection, which lets a reply be held without a thread.

A host asks the key's home for a claim; granted, it holds and runs the job. A resubmission elsewhere is told the holder and gets its answer, also while it runs. An answer counts only for the question that is out, a release only for grants asked for before it, a home and a holder only as the same incarnation. Another incarnation at an address proves the earlier one dead: the answer is that of a living holder, else failed with unknown outcome once every host was heard. Silence is a 503 with unknown outcome. What admission refuses before the claim is asked of the home without a grant, so that "not run" is proved; after a grant the claim is released.

Ruled out: one message for each claim (heads of HTTP outweigh it), answering claims by a second call (twice the messages), refusing "not run" without the home's word.

--- a/include/tarragonbridge/caller_events.h
+++ b/include/tarragonbridge/caller_events.h
@@ -40,6 +40,7 @@
   int Status = 200;
   std::string Body;
   milliseconds RetryAfter{}; ///< zero: none
+  bool Final = true;         ///< false: tells how a running job stands
 };
 
 } // namespace tarragonbridge
--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -59,6 +59,20 @@
 constexpr long MaxConnectionsPerTarget = 20;
 constexpr long ControlConnectionsPerTarget = 2; ///< for renewals and stops
 
+// Calls between entry hosts.
+constexpr std::size_t MaxPeerRequestBytes = 256U << 10U;
+constexpr std::size_t MaxClaimsPerCall = 500;
+constexpr std::size_t MaxClaims = 200'000;
+constexpr milliseconds ClaimTimeout{2'000};
+constexpr milliseconds FetchWait{5'000};
+constexpr milliseconds FetchTimeoutMargin{1'000};
+constexpr unsigned MaxPeerConnections = 1'000;
+constexpr long MaxConnectionsPerPeer = 200;
+constexpr milliseconds HeartbeatInterval{1'000};
+constexpr std::size_t HeartbeatsPerInterval = 2;
+constexpr milliseconds HeartbeatTimeout{1'000};
+constexpr milliseconds MemberRetention = AnswerRetention;
+
 // The platform's store.
 constexpr milliseconds StoreTimeout{3'000};
 constexpr milliseconds StorePollInterval{1'000};
--- a/include/tarragonbridge/dispatcher.h
+++ b/include/tarragonbridge/dispatcher.h
@@ -15,6 +15,7 @@
   session_home Self;            ///< own failure domain, host and incarnation
   std::string Address;          ///< address for callers, told with new sessions
   std::uint64_t RandomSeed = 1; ///< seed of the generator held in the state
+  claim_rules Rules{};          ///< all on but in tests
 };
 
 /// State of a dispatcher; its fields are internal.
--- a/include/tarragonbridge/event.h
+++ b/include/tarragonbridge/event.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tarragonbridge/caller_events.h"
+#include "tarragonbridge/peer_events.h"
 #include "tarragonbridge/platform_events.h"
 #include "tarragonbridge/target_events.h"
 
@@ -20,7 +21,10 @@
     std::variant<session_requested, job_submitted, job_queried, job_cancelled,
                  status_requested,                             // callers
                  task_replied, leases_answered, stop_answered, // targets
-                 hosts_listed, settings_loaded,                // platform
+                 claims_received, fetch_received, heartbeat_received,
+                 claims_answered, fetch_answered, heartbeat_answered,
+                 peer_input_refused,            // peers
+                 hosts_listed, settings_loaded, // platform
                  shutdown_requested, timer_fired>;
 
 /// Writes one line of key=value pairs.
@@ -44,6 +48,8 @@
 
 using effect = std::variant<answer_request,                      // callers
                             start_task, stop_task, renew_leases, // targets
+                            answer_claims, answer_fetch, answer_heartbeat,
+                            send_claims, send_fetch, send_heartbeat, // peers
                             log_line, observe_time, shutdown_finished>;
 
 } // namespace tarragonbridge
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -32,6 +32,9 @@
   Unauthorized,
   Forbidden,
   HomeUnreachable,
+  HolderUnreachable,
+  StartPending,
+  ClaimsFull,
   ShuttingDown,
   StoreUnreachable,
   StoreOutcomeUnknown,
@@ -39,6 +42,8 @@
   // Failures of jobs.
   TaskFailed,
   OutcomeUnknown,
+  HomeDied,
+  HolderDied,
   DeadlineExceeded,
   Cancelled,
   RetriesExhausted,
@@ -60,6 +65,9 @@
   AttemptsUsedUp,
   RetryBudgetEmpty,
   // Replies that were counted and not used.
+  PeerMalformed,
+  PeerUnknownMethod,
+  PeerMisdirected,
   LateReply,
   Count
 };
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -1,5 +1,6 @@
 #include "core/admission_p.h"
 
+#include "core/home_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -7,7 +8,7 @@
 namespace tarragonbridge {
 
 namespace {
-/// @returns why this host may not grant the key a start
+/// @returns why the key's home is refused
 std::optional<reason> checkHome(const dispatcher_state &State,
                                 const job_request &Job) {
   const std::vector<std::string> &Domains = State.Settings.FailureDomains;
@@ -15,23 +16,12 @@
       std::find(Domains.begin(), Domains.end(), Job.Home) == Domains.end()) {
     return reason::UnknownFailureDomain;
   }
-  if (parseSessionHome(Job.Key) != State.Init.Self) {
+  if (!homeOf(State, Job.Key)) {
     return reason::HomeUnreachable;
   }
   return std::nullopt;
 }
 
-std::optional<reason> checkTimes(const job_request &Job, instant Now) {
-  if (Job.SubmittedAt > Now.Wall + config::MaxClockSkew) {
-    return reason::SubmittedInFuture;
-  }
-  if (Job.SubmittedAt <
-      Now.Wall - config::AnswerRetention + config::MaxClockSkew) {
-    return reason::SubmittedTooOld;
-  }
-  return std::nullopt;
-}
-
 bool everFits(const dispatcher_state &State, const task_request &Task) {
   return std::any_of(State.Targets.begin(), State.Targets.end(),
                      [&](const auto &Entry) {
@@ -78,16 +68,15 @@
 
 std::optional<refusal> checkAdmission(const dispatcher_state &State,
                                       const job_request &Job, instant Now) {
-  // Only the home of a key can prove that nothing ran under it.
-  const bool IsHome = parseSessionHome(Job.Key) == State.Init.Self;
   const auto Refuse = [&](reason Reason) {
-    const bool NotRun = IsHome && Reason != reason::SubmittedTooOld;
+    const bool NotRun =
+        Reason != reason::SubmittedTooOld && Reason != reason::HomeUnreachable;
     return refusal{Job.Key, Reason, NotRun, "admit", State.Init.Self.Host, ""};
   };
   if (const auto Reason = checkHome(State, Job)) {
     return Refuse(*Reason);
   }
-  if (const auto Reason = checkTimes(Job, Now)) {
+  if (const auto Reason = checkSubmissionTime(Job.SubmittedAt, Now.Wall)) {
     return Refuse(*Reason);
   }
   if (!State.Settings.Teams.contains(Job.Team)) {
--- a/src/core/admission_p.h
+++ b/src/core/admission_p.h
@@ -8,6 +8,8 @@
 /// Checks a submission whose key has no record here.
 ///
 /// @returns the refusal, or nothing when the job is to be run
+/// @remarks The refusal's proof of not run holds only once the key's home has
+/// told that no other host holds it.
 std::optional<refusal> checkAdmission(const dispatcher_state &State,
                                       const job_request &Job, instant Now);
 
--- a/src/core/answers.cpp
+++ b/src/core/answers.cpp
@@ -65,7 +65,7 @@
 answer_request answerJob(const job_record &Job, request_handle Request) {
   switch (Job.Phase) {
   case job_phase::Running:
-    return {Request, StatusOk, runningBody(Job), {}};
+    return {Request, StatusOk, runningBody(Job), {}, false};
   case job_phase::Complete:
     return {Request, StatusOk, completeBody(Job), {}};
   case job_phase::Failed:
@@ -74,6 +74,18 @@
   return {Request, StatusOk, failedBody(Job), {}};
 }
 
+answer_request answerLost(dispatcher_state &State, request_handle Request,
+                          const std::string &Key, reason Reason,
+                          const std::string &Peer) {
+  State.Figures.Reasons.add(Reason);
+  job_record Lost;
+  Lost.Key = Key;
+  Lost.Phase = job_phase::Failed;
+  Lost.Failure = {Reason, false, false, "find answer", Peer, ""};
+  Lost.Failure.Message = describe(Reason).Text;
+  return answerJob(Lost, Request);
+}
+
 answer_request answerAccepted(const job_record &Job, request_handle Request) {
   answer_request Answer = answerJob(Job, Request);
   if (Job.Phase == job_phase::Running) {
--- a/src/core/job.cpp
+++ b/src/core/job.cpp
@@ -3,6 +3,7 @@
 #include "core/json_reader.h"
 #include "tarragonbridge/config.h"
 #include "tarragonbridge/event.h"
+#include "tarragonbridge/membership.h"
 
 #include <algorithm>
 #include <charconv>
@@ -229,9 +230,27 @@
   return Home;
 }
 
+std::string formatIdentity(const host_identity &Identity) {
+  return Identity.FailureDomain + "." + Identity.Host + "." +
+         formatHex(Identity.Incarnation);
+}
+
+std::optional<host_identity> parseIdentity(std::string_view Text) {
+  constexpr int HexBase = 16;
+  host_identity Identity;
+  Identity.FailureDomain = takeLabel(Text);
+  Identity.Host = takeLabel(Text);
+  const auto Incarnation = parseNumber(Text, HexBase);
+  if (Identity.FailureDomain.empty() || Identity.Host.empty() || !Incarnation) {
+    return std::nullopt;
+  }
+  Identity.Incarnation = *Incarnation;
+  return Identity;
+}
+
 std::string formatSession(const session_home &Home, std::uint64_t Number) {
-  return std::string(SessionPrefix) + Home.FailureDomain + "." + Home.Host +
-         "." + formatHex(Home.Incarnation) + "." + std::to_string(Number);
+  return std::string(SessionPrefix) + formatIdentity(Home) + "." +
+         std::to_string(Number);
 }
 
 std::string formatTaskId(const attempt_id &Id) {
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -4,7 +4,10 @@
 #include "core/answers_p.h"
 #include "core/attempts_p.h"
 #include "core/dispatch_p.h"
+#include "core/home_p.h"
+#include "core/home_questions_p.h"
 #include "core/json_text.h"
+#include "core/remote_answers_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -35,17 +38,36 @@
   return Job;
 }
 
-void answerOrHold(job_record &Job, const job_submitted &Event,
-                  effects &Effects) {
-  if (Event.Async) {
-    Effects.emplace_back(answerAccepted(Job, Event.Request));
+/// Answers a submission that this home has granted to another host.
+void onClaimedElsewhere(dispatcher_state &State, const claim_entry &Claim,
+                        const job_submitted &Event, instant Now,
+                        effects &Effects) {
+  const job_request &Job = Event.Job;
+  if (Claim.Digest != Job.Digest) {
+    Effects.emplace_back(answerRefusal(State, Event.Request,
+                                       {Job.Key, reason::KeyReused, false,
+                                        "submit", State.Init.Self.Host, ""}));
     return;
   }
-  if (Job.Phase != job_phase::Running) {
-    Effects.emplace_back(answerJob(Job, Event.Request));
-    return;
+  fetchAnswer(State, Claim.Holder, {Job.Key, Job.SubmittedAt}, submitter(Event),
+              Now, Effects);
+}
+
+/// Asks the host that holds a key or the key's home, if that is another one.
+///
+/// @returns whether the caller is answered by that
+bool askElsewhere(dispatcher_state &State, const std::string &Key,
+                  const remote_caller &Caller, instant Now, effects &Effects) {
+  const auto Home = homeOf(State, Key);
+  if (Home && *Home != State.Init.Self) {
+    findHolder(State, *Home, Key, Caller, Effects);
+    return true;
+  }
+  if (const claim_entry *Claim = findClaim(State, Key)) {
+    fetchAnswer(State, Claim->Holder, {Key, {}}, Caller, Now, Effects);
+    return true;
   }
-  Job.Waiters.push_back({Event.Request, boot_time::max()});
+  return false;
 }
 
 /// Answers a submission whose key this host has a record of.
@@ -57,7 +79,7 @@
                                         "submit", State.Init.Self.Host, ""}));
     return;
   }
-  answerOrHold(Job, Event, Effects);
+  answerOrHold(Job, Event.Request, Event.Async, Effects);
 }
 
 void answerWaiters(job_record &Job, effects &Effects) {
@@ -111,27 +133,58 @@
     onResubmitted(State, Found->second, Event, Effects);
     return;
   }
+  const auto Home = homeOf(State, Event.Job.Key);
+  if (Home && *Home != State.Init.Self) {
+    claimSubmission(State, *Home, Event, Now, Effects);
+    return;
+  }
+  if (const claim_entry *Claim = findClaim(State, Event.Job.Key)) {
+    onClaimedElsewhere(State, *Claim, Event, Now, Effects);
+    return;
+  }
   if (auto Refusal = checkAdmission(State, Event.Job, Now)) {
     Effects.emplace_back(answerRefusal(State, Event.Request, *Refusal));
     return;
   }
+  job_record &Job = startJob(State, Event.Job, Now);
+  answerOrHold(Job, Event.Request, Event.Async, Effects);
+  enqueueJob(State, Job, Now);
+  dispatchQueued(State, Now, Effects);
+}
+
+job_record &startJob(dispatcher_state &State, const job_request &Request,
+                     instant Now) {
   ++State.Figures.JobsSubmitted;
   ++State.RunningJobs;
   job_record &Job =
-      State.Jobs.emplace(Event.Job.Key, makeRecord(Event.Job, Now))
-          .first->second;
+      State.Jobs.emplace(Request.Key, makeRecord(Request, Now)).first->second;
   setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
   setTimer(State, Job.ForgetAt, timer_kind::Forget, Job.Key);
-  answerOrHold(Job, Event, Effects);
-  enqueueJob(State, Job, Now);
-  dispatchQueued(State, Now, Effects);
+  return Job;
+}
+
+void answerOrHold(job_record &Job, request_handle Request, bool Async,
+                  effects &Effects) {
+  if (Async) {
+    Effects.emplace_back(answerAccepted(Job, Request));
+    return;
+  }
+  if (Job.Phase != job_phase::Running) {
+    Effects.emplace_back(answerJob(Job, Request));
+    return;
+  }
+  Job.Waiters.push_back({Request, boot_time::max()});
 }
 
 void onJobQueried(dispatcher_state &State, const job_queried &Event,
                   instant Now, effects &Effects) {
+  const boot_time Until = Now.Boot + std::min(Event.Wait, config::MaxTimeLimit);
   const auto Found = State.Jobs.find(Event.Key);
   if (Found == State.Jobs.end()) {
-    refuseUnknownKey(State, Event.Request, Event.Key, Effects);
+    const remote_caller Caller{Event.Request, remote_wish::Query, Until};
+    if (!askElsewhere(State, Event.Key, Caller, Now, Effects)) {
+      refuseUnknownKey(State, Event.Request, Event.Key, Effects);
+    }
     return;
   }
   job_record &Job = Found->second;
@@ -139,7 +192,6 @@
     Effects.emplace_back(answerJob(Job, Event.Request));
     return;
   }
-  const boot_time Until = Now.Boot + std::min(Event.Wait, config::MaxTimeLimit);
   Job.Waiters.push_back({Event.Request, Until});
   setTimer(State, Until, timer_kind::Wait, Job.Key);
 }
@@ -148,7 +200,10 @@
                     instant Now, effects &Effects) {
   const auto Found = State.Jobs.find(Event.Key);
   if (Found == State.Jobs.end()) {
-    refuseUnknownKey(State, Event.Request, Event.Key, Effects);
+    const remote_caller Caller{Event.Request, remote_wish::Cancel, Now.Boot};
+    if (!askElsewhere(State, Event.Key, Caller, Now, Effects)) {
+      refuseUnknownKey(State, Event.Request, Event.Key, Effects);
+    }
     return;
   }
   job_record &Job = Found->second;
--- a/src/core/jobs_p.h
+++ b/src/core/jobs_p.h
@@ -14,6 +14,14 @@
 void onJobCancelled(dispatcher_state &State, const job_cancelled &Event,
                     instant Now, effects &Effects);
 
+/// Keeps a record of a submission that this host may start.
+job_record &startJob(dispatcher_state &State, const job_request &Request,
+                     instant Now);
+
+/// Answers a submitter, or holds its request until the job ends.
+void answerOrHold(job_record &Job, request_handle Request, bool Async,
+                  effects &Effects);
+
 /// Ends a job as failed: stops its attempts and answers its waiters.
 void failJob(dispatcher_state &State, job_record &Job, job_failure Failure,
              instant Now, effects &Effects);
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,7 +1,11 @@
 #include "core/attempts_p.h"
 #include "core/dispatch_p.h"
+#include "core/home_p.h"
+#include "core/home_questions_p.h"
 #include "core/jobs_p.h"
 #include "core/leases_p.h"
+#include "core/membership_p.h"
+#include "core/remote_answers_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
 
@@ -57,6 +61,9 @@
   case timer_kind::RenewLeases:
     onRenewLeases(State, Now, Effects);
     break;
+  case timer_kind::Heartbeat:
+    onHeartbeatTimer(State, Now, Effects);
+    break;
   case timer_kind::Retry:
     onRetryDue(State, Timer.Key, Timer.Task, Now);
     dispatchQueued(State, Now, Effects);
@@ -102,7 +109,29 @@
   void operator()(const stop_answered &Event) const {
     onStopAnswered(State, Event, Now, Effects);
   }
+  void operator()(const claims_received &Event) const {
+    onClaimsReceived(State, Event, Now, Effects);
+  }
+  void operator()(const fetch_received &Event) const {
+    onFetchReceived(State, Event, Now, Effects);
+  }
+  void operator()(const heartbeat_received &Event) const {
+    onHeartbeatReceived(State, Event, Now, Effects);
+  }
+  void operator()(const claims_answered &Event) const {
+    onClaimsAnswered(State, Event, Now, Effects);
+  }
+  void operator()(const fetch_answered &Event) const {
+    onFetchAnswered(State, Event, Now, Effects);
+  }
+  void operator()(const heartbeat_answered &Event) const {
+    onHeartbeatAnswered(State, Event, Now);
+  }
+  void operator()(const peer_input_refused &Event) const {
+    State.Figures.Reasons.add(Event.Reason);
+  }
   void operator()(const hosts_listed &Event) const {
+    updateMembers(State, Event, Now);
     onHostsListed(State, Event, Now, Effects);
   }
   void operator()(const settings_loaded &Event) const {
@@ -110,6 +139,7 @@
   }
   void operator()(const shutdown_requested & /*Event*/) const {
     State.ShuttingDown = true;
+    announceLeaving(State, Effects);
   }
   void operator()(const timer_fired & /*Event*/) const {}
 };
@@ -133,6 +163,8 @@
   State->Init = Init;
   State->Settings = defaultSettings(Init.Self.FailureDomain);
   State->Random.seed(Init.RandomSeed);
+  State->Peers.Claims.Rules = Init.Rules;
+  State->Peers.Asks.Rules = Init.Rules;
   configureTeams(*State);
   return State;
 }
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/attempt_table_p.h"
+#include "core/peers_p.h"
 #include "tarragonbridge/config.h"
 #include "tarragonbridge/dispatcher.h"
 #include "tarragonbridge/retry_budget.h"
@@ -115,7 +116,8 @@
   Wait,
   Dispatch,
   RenewLeases,
-  Retry
+  Heartbeat,
+  Retry,
 };
 
 struct timer {
@@ -134,6 +136,7 @@
   team_queues Queues;
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
+  peer_state Peers;
   std::multimap<boot_time, timer> Timers;
   bool LeaseTimerSet = false;
   bool ShuttingDown = false;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -45,7 +45,9 @@
       Loop(makeDispatcher(Init),
            [this](effect &&Effect) { carryOut(std::move(Effect)); }),
       Targets(TargetClient,
-              [this](event &&Event) { Loop.post(std::move(Event)); }) {}
+              [this](event &&Event) { Loop.post(std::move(Event)); }),
+      Peers(Init.Self, Config.PeerListen,
+            [this](event &&Event) { Loop.post(std::move(Event)); }) {}
 
 daemon::~daemon() {
   Platform.reset();
@@ -58,6 +60,7 @@
                                             http_request &&Request) {
     Raw->onRequest(Handle, std::move(Request));
   };
+  BOOST_LEAF_CHECK(Self->Peers.start());
   BOOST_LEAF_CHECK(Self->Server.start(OnRequest));
   Self->Platform = std::make_unique<platform_watch>(
       store_client(Self->StoreClient, Config.Store), Config.FailureDomain,
@@ -115,7 +118,13 @@
 void daemon::carryOut(effect &&Effect) {
   if (auto *Answer = std::get_if<answer_request>(&Effect)) {
     const request_handle Handle = Answer->Request;
+    if (isPeerRequest(Handle)) {
+      Peers.answer(*Answer);
+      return;
+    }
     Server.respond(Handle, toResponse(std::move(*Answer)));
+  } else if (Peers.carryOut(Effect)) {
+    return;
   } else if (auto *Start = std::get_if<start_task>(&Effect)) {
     Targets.start(std::move(*Start));
   } else if (const auto *Stop = std::get_if<stop_task>(&Effect)) {
@@ -144,12 +153,13 @@
     Ready.wait_for(Lock, config::MaxShutdownTime, [this] { return Finished; });
   }
   // Answers are given; their last bytes may still be on the way out.
-  while (Server.openRequests() != 0 &&
+  while (Server.openRequests() + Peers.openCalls() != 0 &&
          bootNow() - Started < config::MaxShutdownTime) {
     std::this_thread::sleep_for(ShutdownPollInterval);
   }
   Server.stopAccepting();
-  const std::size_t CutOff = Server.openRequests();
+  Peers.stopAccepting();
+  const std::size_t CutOff = Server.openRequests() + Peers.openCalls();
   logEvent("stopped", {{"cut_off", std::to_string(CutOff)}});
   return CutOff == 0;
 }
