--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -146,17 +146,18 @@
     sendStop(Target, Id, Found->second, Effects);
   }
   if (Cell.Next == attempt_state::Settled) {
+    releaseCharge(State, Found->second, Now);
     Target.Running.erase(Found);
     --State.RunningTasks;
-    releaseCharge(State, Id, Now);
   }
   if (Job != nullptr) {
     act(Context, *Job, Cell.Action, Input);
   }
 }
 
-void startAttempt(dispatcher_state &State, job_record &Job, std::uint32_t Index,
-                  target_record &Target, instant Now, effects &Effects) {
+attempt_record &startAttempt(dispatcher_state &State, job_record &Job,
+                             std::uint32_t Index, target_record &Target,
+                             instant Now, effects &Effects) {
   task_record &Task = Job.Tasks[Index];
   ++Task.Attempts;
   Task.Phase = task_phase::Running;
@@ -165,7 +166,8 @@
       observe_time{time_metric::TaskQueueing, Now.Boot - Task.QueuedAt});
   Task.Target = Target.Host.Name;
   const attempt_id Id{Job.Key, Index, Task.Attempts};
-  Target.Running.emplace(Id, attempt_record{Now.Boot});
+  attempt_record &Attempt =
+      Target.Running.emplace(Id, attempt_record{Now.Boot}).first->second;
   ++State.RunningTasks;
   ++State.Figures.TasksStarted;
   earnRetries(State, Job, Task, Target);
@@ -178,6 +180,7 @@
   Effects.emplace_back(start_task{Task.Target, Id, Target.Host.Address,
                                   config::TaskLease, Left + config::TaskLease,
                                   Task.Request.Payload, Task.Request.Needs});
+  return Attempt;
 }
 
 void sendStop(target_record &Target, const attempt_id &Id,
@@ -268,7 +271,7 @@
   }
   Found->second.Tasks[Task].Phase = task_phase::Queued;
   Found->second.Tasks[Task].QueuedAt = Now.Boot;
-  enqueueTask(State, Found->second, Task, Now);
+  enqueueTask(State, Found->second, Task);
 }
 
 } // namespace tarragonbridge
--- a/src/core/dispatch_p.h
+++ b/src/core/dispatch_p.h
@@ -5,17 +5,18 @@
 
 namespace tarragonbridge {
 
-/// Takes over urgencies, bounds and limits of teams from the settings.
-void configureTeams(dispatcher_state &State);
+/// Queues all tasks of a new job.
+void enqueueJob(dispatcher_state &State, job_record &Job, instant Now);
 
-void enqueueJob(dispatcher_state &State, const job_record &Job, instant Now);
+/// Queues a task again.
 void enqueueTask(dispatcher_state &State, const job_record &Job,
-                 std::uint32_t Task, instant Now);
+                 std::uint32_t Task);
 
 /// Starts queued tasks while targets have room and limits allow.
 void dispatchQueued(dispatcher_state &State, instant Now, effects &Effects);
 
 /// Frees what an attempt that has ended held of its team's limits.
-void releaseCharge(dispatcher_state &State, const attempt_id &Id, instant Now);
+void releaseCharge(dispatcher_state &State, const attempt_record &Attempt,
+                   instant Now);
 
 } // namespace tarragonbridge
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -14,7 +14,7 @@
 std::size_t attemptLimit(const target_record &Target) {
   constexpr std::size_t Connections =
       config::MaxConnectionsPerTarget - config::ControlConnectionsPerTarget;
-  return std::min<std::size_t>(Target.Host.Slots, Connections);
+  return std::min<std::size_t>(Target.SlotShare, Connections);
 }
 
 bool hasRoom(const target_record &Target, const resources &Needs, instant Now) {
@@ -34,7 +34,7 @@
       continue;
     }
     const double Load =
-        static_cast<double>(Target.Running.size()) / Target.Host.Slots;
+        static_cast<double>(Target.Running.size()) / Target.SlotShare;
     if (Best == nullptr || Load < BestLoad) {
       Best = &Target;
       BestLoad = Load;
