--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/attempt_table_p.h"
+#include "core/peers_p.h"
 #include "tarragonbridge/config.h"
 #include "tarragonbridge/dispatcher.h"
 #include "tarragonbridge/entry_load.h"
@@ -128,8 +129,9 @@
   Wait,
   Dispatch,
   RenewLeases,
+  Heartbeat,
   Shares,
-  Retry
+  Retry,
 };
 
 struct timer {
@@ -156,6 +158,7 @@
   resources SmallestNeeds; ///< of tasks queued since nothing was queued
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
+  peer_state Peers;
   std::multimap<boot_time, timer> Timers;
   bool LeaseTimerSet = false;
   bool ShuttingDown = false;
