Keep ended jobs as a hash and their answer, bounded in time and bytes

Cause: a kept job held all its task records until its retention ended, without a bound; at the size to come that is gigabytes a host. Ruled out: forgetting keys early, since a forgotten key could run again; a full table refuses new work (claims_full) instead. Change: a job's record moves to the answer cache when the event that ended it is over; past 96 MiB the oldest answers are dropped and a resubmission is told answer_dropped.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -24,6 +24,8 @@
 // Clocks and kept answers.
 constexpr milliseconds MaxClockSkew{2'000};
 constexpr milliseconds AnswerRetention{900'000};
+constexpr std::size_t MaxKeptAnswerBytes = 96U << 20U;
+constexpr std::size_t MaxKeptJobs = 1'500'000;
 
 // Queues.
 constexpr std::size_t MaxQueuedTasks = 100'000;
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -35,6 +35,7 @@
   HolderUnreachable,
   StartPending,
   ClaimsFull,
+  AnswerDropped,
   ShuttingDown,
   StoreUnreachable,
   StoreOutcomeUnknown,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -44,6 +44,9 @@
   if (State.ShuttingDown) {
     return Refuse(reason::ShuttingDown);
   }
+  if (State.Jobs.size() + State.Answers.size() >= config::MaxKeptJobs) {
+    return Refuse(reason::ClaimsFull);
+  }
   if (const auto Reason = checkCapacity(State, Job, Now)) {
     return Refuse(*Reason);
   }
--- a/src/core/home.cpp
+++ b/src/core/home.cpp
@@ -1,5 +1,7 @@
 #include "core/home_p.h"
 
+#include "core/ended_jobs_p.h"
+
 namespace tarragonbridge {
 
 namespace {
@@ -8,9 +10,9 @@
 }
 
 /// Answers for a key whose submission this host itself runs or has run.
-claim_answer decideOwn(const dispatcher_state &State, const job_record &Job,
+claim_answer decideOwn(const dispatcher_state &State, std::uint64_t Digest,
                        const claim_ask &Ask) {
-  if (Ask.Mode != claim_mode::Find && Ask.Digest != Job.Digest) {
+  if (Ask.Mode != claim_mode::Find && Ask.Digest != Digest) {
     return refuse(Ask, reason::KeyReused, false);
   }
   return {Ask.Number, claim_outcome::Held, State.Init.Self};
@@ -27,8 +29,8 @@
     releaseClaim(State.Peers.Claims, From, Ask);
     return {Ask.Number, claim_outcome::Unclaimed, {}};
   }
-  if (const auto Found = State.Jobs.find(Ask.Key); Found != State.Jobs.end()) {
-    return decideOwn(State, Found->second, Ask);
+  if (const auto Digest = findDigest(State, Ask.Key)) {
+    return decideOwn(State, *Digest, Ask);
   }
   const bool IsNew = !State.Peers.Claims.Entries.contains(Ask.Key);
   if (State.ShuttingDown && IsNew && Ask.Mode == claim_mode::Grant) {
--- a/src/core/home_questions.cpp
+++ b/src/core/home_questions.cpp
@@ -3,6 +3,7 @@
 #include "core/admission_p.h"
 #include "core/answers_p.h"
 #include "core/dispatch_p.h"
+#include "core/ended_jobs_p.h"
 #include "core/home_p.h"
 #include "core/jobs_p.h"
 #include "core/membership_p.h"
@@ -147,7 +148,7 @@
 void onAnswer(dispatcher_state &State, const claim_question &Question,
               const claim_answer &Answer, instant Now, effects &Effects) {
   const std::string &Key = Question.Ask.Key;
-  const bool HasRecord = State.Jobs.contains(Key);
+  const bool HasRecord = findDigest(State, Key).has_value();
   const bool MayStart =
       Question.Job && mayStart(State.Peers.Asks, Key, Answer.Number, HasRecord);
   if (Question.Job) {
@@ -258,7 +259,7 @@
 void releaseKey(dispatcher_state &State, const std::string &Key,
                 effects &Effects) {
   const auto Home = homeOf(State, Key);
-  const bool HasRecord = State.Jobs.contains(Key);
+  const bool HasRecord = findDigest(State, Key).has_value();
   const auto Number = beginRelease(State.Peers.Asks, Key, HasRecord);
   if (!Home || Home == State.Init.Self || !Number) {
     return;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -4,6 +4,7 @@
 #include "core/answers_p.h"
 #include "core/attempts_p.h"
 #include "core/dispatch_p.h"
+#include "core/ended_jobs_p.h"
 #include "core/home_p.h"
 #include "core/home_questions_p.h"
 #include "core/json_text.h"
@@ -26,8 +27,6 @@
   Job.Repeatable = Request.Repeatable;
   Job.Deadline =
       Now.Boot + (Request.SubmittedAt + Request.TimeLimit - Now.Wall);
-  // A submission time may lie ahead by the skew, and clocks may step by it.
-  Job.ForgetAt = Now.Boot + config::AnswerRetention + 2 * config::MaxClockSkew;
   Job.Tasks.reserve(Request.Tasks.size());
   for (const task_request &Task : Request.Tasks) {
     Job.Tasks.push_back({});
@@ -71,15 +70,18 @@
 }
 
 /// Answers a submission whose key this host has a record of.
-void onResubmitted(dispatcher_state &State, job_record &Job,
+void onResubmitted(dispatcher_state &State, std::uint64_t Digest,
                    const job_submitted &Event, effects &Effects) {
-  if (Job.Digest != Event.Job.Digest) {
-    Effects.emplace_back(answerRefusal(State, Event.Request,
-                                       {Job.Key, reason::KeyReused, false,
-                                        "submit", State.Init.Self.Host, ""}));
+  const std::string &Key = Event.Job.Key;
+  if (Digest != Event.Job.Digest) {
+    Effects.emplace_back(answerRefusal(
+        State, Event.Request,
+        {Key, reason::KeyReused, false, "submit", State.Init.Self.Host, ""}));
     return;
   }
-  answerOrHold(Job, Event.Request, Event.Async, Effects);
+  if (!answerEnded(State, Key, Event.Request, Effects)) {
+    answerOrHold(State.Jobs.at(Key), Event.Request, Event.Async, Effects);
+  }
 }
 
 void answerWaiters(job_record &Job, effects &Effects) {
@@ -96,10 +98,7 @@
       observe_time{time_metric::JobResponse, Now.Boot - Job.ReceivedAt});
   --State.RunningJobs;
   answerWaiters(Job, Effects);
-  for (task_record &Task : Job.Tasks) {
-    Task.Request.Payload.clear();
-    Task.Request.Payload.shrink_to_fit();
-  }
+  State.EndedJobs.push_back(Job.Key);
 }
 
 void refuseUnknownKey(dispatcher_state &State, request_handle Request,
@@ -128,9 +127,8 @@
 
 void onJobSubmitted(dispatcher_state &State, const job_submitted &Event,
                     instant Now, effects &Effects) {
-  if (const auto Found = State.Jobs.find(Event.Job.Key);
-      Found != State.Jobs.end()) {
-    onResubmitted(State, Found->second, Event, Effects);
+  if (const auto Digest = findDigest(State, Event.Job.Key)) {
+    onResubmitted(State, *Digest, Event, Effects);
     return;
   }
   const auto Home = homeOf(State, Event.Job.Key);
@@ -159,7 +157,6 @@
   job_record &Job =
       State.Jobs.emplace(Request.Key, makeRecord(Request, Now)).first->second;
   setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
-  setTimer(State, Job.ForgetAt, timer_kind::Forget, Job.Key);
   return Job;
 }
 
@@ -178,6 +175,9 @@
 
 void onJobQueried(dispatcher_state &State, const job_queried &Event,
                   instant Now, effects &Effects) {
+  if (answerEnded(State, Event.Key, Event.Request, Effects)) {
+    return;
+  }
   const boot_time Until = Now.Boot + std::min(Event.Wait, config::MaxTimeLimit);
   const auto Found = State.Jobs.find(Event.Key);
   if (Found == State.Jobs.end()) {
@@ -198,6 +198,9 @@
 
 void onJobCancelled(dispatcher_state &State, const job_cancelled &Event,
                     instant Now, effects &Effects) {
+  if (answerEnded(State, Event.Key, Event.Request, Effects)) {
+    return;
+  }
   const auto Found = State.Jobs.find(Event.Key);
   if (Found == State.Jobs.end()) {
     const remote_caller Caller{Event.Request, remote_wish::Cancel, Now.Boot};
@@ -280,11 +283,4 @@
   std::erase_if(Job.Waiters, IsOver);
 }
 
-void onForget(dispatcher_state &State, const std::string &Key) {
-  const auto Found = State.Jobs.find(Key);
-  if (Found != State.Jobs.end() && Found->second.Phase != job_phase::Running) {
-    State.Jobs.erase(Found);
-  }
-}
-
 } // namespace tarragonbridge
--- a/src/core/jobs_p.h
+++ b/src/core/jobs_p.h
@@ -34,6 +34,5 @@
                 effects &Effects);
 void onWaitOver(dispatcher_state &State, const std::string &Key, instant Now,
                 effects &Effects);
-void onForget(dispatcher_state &State, const std::string &Key);
 
 } // namespace tarragonbridge
--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -46,6 +46,9 @@
      "A host was granted the submission and has not started it yet."},
     {reason::ClaimsFull, Refusal, "claims_full", 429,
      "The home keeps as many claims as it may."},
+    {reason::AnswerDropped, Refusal, "answer_dropped", 410,
+     "The job has ended; its answer is no longer kept, and it is not run "
+     "again."},
     {reason::ShuttingDown, Refusal, "shutting_down", 503,
      "The host is shutting down."},
     {reason::StoreUnreachable, Refusal, "store_unreachable", 503,
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,6 +1,7 @@
 #include "core/attempts_p.h"
 #include "core/capacity_p.h"
 #include "core/dispatch_p.h"
+#include "core/ended_jobs_p.h"
 #include "core/entry_shares_p.h"
 #include "core/home_p.h"
 #include "core/home_questions_p.h"
@@ -70,9 +71,6 @@
   case timer_kind::Deadline:
     onDeadline(State, Timer.Key, Now, Effects);
     return true;
-  case timer_kind::Forget:
-    onForget(State, Timer.Key);
-    return false;
   case timer_kind::Wait:
     onWaitOver(State, Timer.Key, Now, Effects);
     return false;
@@ -208,6 +206,7 @@
   std::visit(event_visitor{State, Now, Effects}, Event);
   fireDueTimers(State, Now, Effects);
   tellShutdown(State, Effects);
+  retireEndedJobs(State, Now);
   return Effects;
 }
 
@@ -222,7 +221,7 @@
   dispatcher_figures Figures = State.Figures;
   Figures.TasksQueued = State.Queues.size().Tasks;
   Figures.TasksRunning = State.RunningTasks;
-  Figures.JobsKept = State.Jobs.size();
+  Figures.JobsKept = State.Jobs.size() + State.Answers.size();
   Figures.Targets = State.Targets.size();
   Figures.SettingsRevision = State.Settings.Revision;
   return Figures;
--- a/src/core/remote_answers.cpp
+++ b/src/core/remote_answers.cpp
@@ -1,6 +1,7 @@
 #include "core/remote_answers_p.h"
 
 #include "core/answers_p.h"
+#include "core/ended_jobs_p.h"
 #include "core/home_questions_p.h"
 #include "core/jobs_p.h"
 #include "core/membership_p.h"
@@ -217,7 +218,7 @@
     return;
   }
   const fetch_ask &Ask = Event.Ask;
-  if (!State.Jobs.contains(Ask.Key)) {
+  if (!findDigest(State, Ask.Key)) {
     const fetch_state Known = answerUnseen(State, Ask, Now, Effects);
     Effects.emplace_back(answer_fetch{Event.Request, {Known, 0, ""}});
     return;
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -3,6 +3,7 @@
 
 #include "core/attempt_table_p.h"
 #include "core/peers_p.h"
+#include "tarragonbridge/answer_cache.h"
 #include "tarragonbridge/config.h"
 #include "tarragonbridge/dispatcher.h"
 #include "tarragonbridge/entry_load.h"
@@ -68,7 +69,6 @@
   job_phase Phase = job_phase::Running;
   boot_time ReceivedAt;
   boot_time Deadline;
-  boot_time ForgetAt;
   boot_time Rank;          ///< order in the queue of its team
   microseconds SureTime{}; ///< what one of its tasks surely takes
   std::vector<task_record> Tasks;
@@ -125,7 +125,6 @@
 /// What a timer is for.
 enum class timer_kind : std::uint8_t {
   Deadline,
-  Forget,
   Wait,
   Dispatch,
   RenewLeases,
@@ -136,7 +135,7 @@
 
 struct timer {
   timer_kind Kind = timer_kind::Dispatch;
-  std::string Key;        ///< job, for Deadline, Forget, Wait and Retry
+  std::string Key;        ///< job, for Deadline, Wait and Retry
   std::uint32_t Task = 0; ///< for Retry
 };
 
@@ -150,6 +149,9 @@
   settings_tree Settings;
   std::uint64_t NextSession = 1;
   std::unordered_map<std::string, job_record> Jobs;
+  std::vector<std::string> EndedJobs; ///< during this event
+  answer_cache Answers{{config::MaxKeptAnswerBytes,
+                        config::AnswerRetention + 2 * config::MaxClockSkew}};
   std::map<std::string, target_record, std::less<>> Targets;
   std::map<std::string, team_record, std::less<>> Teams;
   team_queues Queues;
