--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -87,7 +87,7 @@
   Target.Used.Cores -= Ended.Needs.Cores;
   Target.Used.MemoryMb -= Ended.Needs.MemoryMb;
   Target.Used.Accelerators -= Ended.Needs.Accelerators;
-  releaseCharge(State, Attempt->first, Now);
+  releaseCharge(State, Ended, Now);
   Target.Running.erase(Attempt);
   --State.RunningTasks;
   refreshTarget(State, Target, Now.Boot);
@@ -134,15 +134,17 @@
   return attempt_input::ReplyLost;
 }
 /// Counts an attempt at its target.
-void occupySlot(dispatcher_state &State, target_record &Target,
-                const attempt_id &Id, const resources &Needs, instant Now) {
+attempt_record &occupySlot(dispatcher_state &State, target_record &Target,
+                           const attempt_id &Id, const resources &Needs,
+                           instant Now) {
   attempt_record Attempt{Now.Boot, Needs};
   Attempt.IsProbe = Target.Window.onStart(Target.Running.size() + 1, Now.Boot);
-  Target.Running.emplace(Id, Attempt);
+  attempt_record &Added = Target.Running.emplace(Id, Attempt).first->second;
   Target.Used.Cores += Needs.Cores;
   Target.Used.MemoryMb += Needs.MemoryMb;
   Target.Used.Accelerators += Needs.Accelerators;
   refreshTarget(State, Target, Now.Boot);
+  return Added;
 }
 } // namespace
 
@@ -179,8 +181,9 @@
   }
 }
 
-void startAttempt(dispatcher_state &State, job_record &Job, std::uint32_t Index,
-                  target_record &Target, instant Now, effects &Effects) {
+attempt_record &startAttempt(dispatcher_state &State, job_record &Job,
+                             std::uint32_t Index, target_record &Target,
+                             instant Now, effects &Effects) {
   task_record &Task = Job.Tasks[Index];
   ++Task.Attempts;
   Task.Phase = task_phase::Running;
@@ -189,7 +192,8 @@
       observe_time{time_metric::TaskQueueing, Now.Boot - Task.QueuedAt});
   Task.Target = Target.Host.Name;
   const attempt_id Id{Job.Key, Index, Task.Attempts};
-  occupySlot(State, Target, Id, Task.Request.Needs, Now);
+  attempt_record &Attempt =
+      occupySlot(State, Target, Id, Task.Request.Needs, Now);
   ++State.RunningTasks;
   ++State.Figures.TasksStarted;
   earnRetries(State, Job, Task, Target);
@@ -202,6 +206,7 @@
   Effects.emplace_back(start_task{Task.Target, Id, Target.Host.Address,
                                   config::TaskLease, Left + config::TaskLease,
                                   Task.Request.Payload, Task.Request.Needs});
+  return Attempt;
 }
 
 void sendStop(target_record &Target, const attempt_id &Id,
@@ -292,7 +297,7 @@
   }
   Found->second.Tasks[Task].Phase = task_phase::Queued;
   Found->second.Tasks[Task].QueuedAt = Now.Boot;
-  enqueueTask(State, Found->second, Task, Now);
+  enqueueTask(State, Found->second, Task);
 }
 
 } // namespace tarragonbridge
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -168,15 +168,14 @@
   Target.Speed.learn(std::log(Measured * Speed) - Estimate.LogMean);
 }
 
-void shareSlots(dispatcher_state &State) {
+void onSharesChanged(dispatcher_state &State, boot_time Now) {
+  const std::string &Domain = State.Init.Self.FailureDomain;
   for (auto &[Name, Target] : State.Targets) {
-    const auto Found = State.EntryHosts.find(Target.Host.FailureDomain);
-    const std::size_t Hosts = Found == State.EntryHosts.end()
-                                  ? 1
-                                  : std::max<std::size_t>(Found->second, 1);
-    const bool IsOwn =
-        Target.Host.FailureDomain == State.Init.Self.FailureDomain;
-    Target.Window.setShare(IsOwn ? (Target.Host.Slots + Hosts - 1) / Hosts : 0);
+    const bool IsOwn = Target.Host.FailureDomain == Domain;
+    Target.Window.setShare(IsOwn ? Target.SlotShare : 0);
+    if (Target.Placement.SlotShare != Target.SlotShare) {
+      refreshTarget(State, Target, Now);
+    }
   }
 }
 
--- a/src/core/placement_index.cpp
+++ b/src/core/placement_index.cpp
@@ -58,7 +58,7 @@
   constexpr std::size_t Connections =
       config::MaxConnectionsPerTarget - config::ControlConnectionsPerTarget;
   return std::min<std::size_t>(
-      {Target.Host.Slots, Connections, Target.Window.limit(Now)});
+      {Target.SlotShare, Connections, Target.Window.limit(Now)});
 }
 
 bool isUsable(const target_record &Target) {
@@ -84,6 +84,7 @@
   }
   placement_entry &Entry = Target.Placement;
   Entry.IsIndexed = true;
+  Entry.SlotShare = Target.SlotShare;
   Entry.Group = {Target.Host.FailureDomain != State.Init.Self.FailureDomain,
                  speedClass(Target.Speed.hopedFor()), Target.Host.Capacity};
   const std::size_t Limit = attemptLimit(Target, Now);
--- a/src/core/placement_index_p.h
+++ b/src/core/placement_index_p.h
@@ -45,6 +45,7 @@
 struct placement_entry {
   bool IsIndexed = false;
   bool HasRoom = false;
+  std::uint32_t SlotShare = 0;
   target_group Group;
   double Load = 0;
   double Slots = 0;
--- a/src/core/placement_p.h
+++ b/src/core/placement_p.h
@@ -38,8 +38,8 @@
                        const task_record &Task, target_record &Target,
                        microseconds Took);
 
-/// Divides the slots of each target between the entry hosts of its failure
-/// domain.
-void shareSlots(dispatcher_state &State);
+/// Takes over the shares of slots. In another failure domain this host has no
+/// share; slots there are won by probes alone.
+void onSharesChanged(dispatcher_state &State, boot_time Now);
 
 } // namespace tarragonbridge
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,24 +1,40 @@
 #include "core/attempts_p.h"
+#include "core/capacity_p.h"
 #include "core/dispatch_p.h"
+#include "core/entry_shares_p.h"
 #include "core/jobs_p.h"
 #include "core/leases_p.h"
 #include "core/placement_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
+#include "core/teams_p.h"
 
 namespace tarragonbridge {
 
 namespace {
+/// @returns the other entry hosts that are not leaving, their loads unknown
+std::vector<entry_host> listEntryHosts(const dispatcher_state &State,
+                                       const hosts_listed &Event) {
+  std::vector<entry_host> Others;
+  for (const host_entry &Host : Event.Hosts) {
+    const bool IsOther = Host.Role == host_role::Entry &&
+                         Host.State == host_state::Live &&
+                         Host.Name != State.Init.Self.Host;
+    if (IsOther) {
+      Others.push_back({Host.Name, Host.FailureDomain, std::nullopt});
+    }
+  }
+  return Others;
+}
+
 /// Joins the list with what this host has out at targets that left it.
 void onHostsListed(dispatcher_state &State, const hosts_listed &Event,
                    instant Now, effects &Effects) {
   for (auto &[Name, Target] : State.Targets) {
     Target.Listed = false;
   }
-  State.EntryHosts.clear();
   for (const host_entry &Host : Event.Hosts) {
     if (Host.Role != host_role::Target) {
-      ++State.EntryHosts[Host.FailureDomain];
       continue;
     }
     const auto [Found, IsNew] = State.Targets.try_emplace(Host.Name);
@@ -30,8 +46,10 @@
   std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Running.empty();
   });
-  shareSlots(State);
   rebuildIndex(State, Now.Boot);
+  refreshCapacity(State);
+  setEntryHosts(State, listEntryHosts(State, Event), Now);
+  startShareTimer(State, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -41,41 +59,48 @@
     return;
   }
   State.Settings = Event.Settings;
-  configureTeams(State);
+  configureTeams(State, Now);
   dispatchQueued(State, Now, Effects);
 }
 
-void fireTimer(dispatcher_state &State, const timer &Timer, instant Now,
+/// @returns whether queued tasks may start after it
+bool fireTimer(dispatcher_state &State, const timer &Timer, instant Now,
                effects &Effects) {
   switch (Timer.Kind) {
   case timer_kind::Deadline:
     onDeadline(State, Timer.Key, Now, Effects);
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   case timer_kind::Forget:
     onForget(State, Timer.Key);
-    break;
+    return false;
   case timer_kind::Wait:
     onWaitOver(State, Timer.Key, Now, Effects);
-    break;
+    return false;
   case timer_kind::Dispatch:
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   case timer_kind::RenewLeases:
     onRenewLeases(State, Now, Effects);
-    break;
+    return false;
+  case timer_kind::Shares:
+    onShareTimer(State, Now);
+    return true;
   case timer_kind::Retry:
     onRetryDue(State, Timer.Key, Timer.Task, Now);
-    dispatchQueued(State, Now, Effects);
-    break;
+    return true;
   }
+  return false;
 }
 
+/// Fires all timers that are due, and then dispatches once.
 void fireDueTimers(dispatcher_state &State, instant Now, effects &Effects) {
+  bool MayStart = false;
   while (!State.Timers.empty() && State.Timers.begin()->first <= Now.Boot) {
     const timer Timer = std::move(State.Timers.begin()->second);
     State.Timers.erase(State.Timers.begin());
-    fireTimer(State, Timer, Now, Effects);
+    MayStart = fireTimer(State, Timer, Now, Effects) || MayStart;
+  }
+  if (MayStart) {
+    dispatchQueued(State, Now, Effects);
   }
 }
 
@@ -140,7 +165,7 @@
   State->Init = Init;
   State->Settings = defaultSettings(Init.Self.FailureDomain);
   State->Random.seed(Init.RandomSeed);
-  configureTeams(*State);
+  configureTeams(*State, {});
   return State;
 }
 
--- a/src/core/retries.cpp
+++ b/src/core/retries.cpp
@@ -68,7 +68,7 @@
   if (Task.Refusals == 1) {
     Task.Phase = task_phase::Queued;
     Task.QueuedAt = Now.Boot;
-    enqueueTask(State, Job, Index, Now);
+    enqueueTask(State, Job, Index);
     return;
   }
   waitFor(State, Job, Index,
--- a/src/core/slot_window_p.h
+++ b/src/core/slot_window_p.h
@@ -16,7 +16,7 @@
 /// the window by one and halves that time.
 class slot_window {
 public:
-  /// Sets this host's share; the window is widened to it.
+  /// Sets this host's share; the window is widened to a larger one.
   void setShare(std::size_t Slots) {
     Limit = std::max(Limit, Slots > Share ? Slots : 0);
     Share = Slots;
