--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/attempt_table_p.h"
+#include "core/peers_p.h"
 #include "core/placement_index_p.h"
 #include "core/slot_window_p.h"
 #include "core/target_speed_p.h"
@@ -139,8 +140,9 @@
   Wait,
   Dispatch,
   RenewLeases,
+  Heartbeat,
   Shares,
-  Retry
+  Retry,
 };
 
 struct timer {
@@ -164,8 +166,10 @@
   team_queues Queues;
   share_state Shares;
   capacity_state Capacity;
+  resources SmallestNeeds; ///< of tasks queued since nothing was queued
   std::size_t RunningTasks = 0;
   std::size_t RunningJobs = 0;
+  peer_state Peers;
   std::multimap<boot_time, timer> Timers;
   bool LeaseTimerSet = false;
   bool ShuttingDown = false;
