--- a/include/tarragonbridge/dispatcher.h
+++ b/include/tarragonbridge/dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "tarragonbridge/event.h"
+#include "tarragonbridge/placement.h"
 #include "tarragonbridge/reason.h"
 
 #include <memory>
@@ -16,6 +17,7 @@
   std::string Address;          ///< address for callers, told with new sessions
   std::uint64_t RandomSeed = 1; ///< seed of the generator held in the state
   claim_rules Rules{};          ///< all on but in tests
+  placement_kind Placement = placement_kind::Expected;
 };
 
 /// State of a dispatcher; its fields are internal.
--- a/src/core/entry_shares.cpp
+++ b/src/core/entry_shares.cpp
@@ -1,5 +1,6 @@
 #include "core/entry_shares_p.h"
 
+#include "core/placement_p.h"
 #include "core/teams_p.h"
 #include "tarragonbridge/config.h"
 
@@ -165,6 +166,7 @@
 void refreshShares(dispatcher_state &State, instant Now) {
   refreshSlots(State);
   refreshLimits(State, Now);
+  onSharesChanged(State, Now.Boot);
 }
 
 void onShareTimer(dispatcher_state &State, instant Now) {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -8,6 +8,7 @@
 #include "core/jobs_p.h"
 #include "core/leases_p.h"
 #include "core/membership_p.h"
+#include "core/placement_p.h"
 #include "core/remote_answers_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
@@ -41,13 +42,16 @@
     if (Host.Role != host_role::Target) {
       continue;
     }
-    target_record &Target = State.Targets[Host.Name];
+    const auto [Found, IsNew] = State.Targets.try_emplace(Host.Name);
+    target_record &Target = Found->second;
+    Target.Order = IsNew ? State.Random() : Target.Order;
     Target.Host = Host;
     Target.Listed = true;
   }
   std::erase_if(State.Targets, [](const auto &Entry) {
     return !Entry.second.Listed && Entry.second.Running.empty();
   });
+  rebuildIndex(State, Now.Boot);
   refreshCapacity(State);
   setEntryHosts(State, listEntryHosts(State, Event), Now);
   startShareTimer(State, Now);
