Carry load in heartbeats

Heartbeats now tell what a host wants and uses of slots and team limits, and feed the division of shares; a host that says it is leaving has no share any more. Members are all entry hosts of the list; only those with a peer address are told. Messages of peers by position are read in a header of their own.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -79,6 +79,8 @@
 constexpr milliseconds HeartbeatInterval{1'000};
 constexpr std::size_t HeartbeatsPerInterval = 2;
 constexpr milliseconds HeartbeatTimeout{1'000};
+constexpr milliseconds LoadLifetime{15'000};
+constexpr std::size_t MaxTeamsPerHeartbeat = 1'000;
 constexpr milliseconds MemberRetention = AnswerRetention;
 
 // The platform's store.
--- a/include/tarragonbridge/entry_load.h
+++ b/include/tarragonbridge/entry_load.h
@@ -17,12 +17,16 @@
   share_demand Cores;
   share_demand MemoryMb;
   share_demand Accelerators;
+
+  bool operator==(const team_load &) const = default;
 };
 
 /// What one host tells of its load.
 struct entry_load {
   std::uint64_t WantedSlots = 0; ///< tasks running and queued
   std::map<std::string, team_load, std::less<>> Teams; ///< those with limits
+
+  bool operator==(const entry_load &) const = default;
 };
 
 /// An entry host as last heard.
--- a/include/tarragonbridge/membership.h
+++ b/include/tarragonbridge/membership.h
@@ -1,6 +1,7 @@
 /// Entry hosts as members of one dispatcher: identities and heartbeats.
 #pragma once
 
+#include "tarragonbridge/entry_load.h"
 #include "tarragonbridge/job.h"
 #include "tarragonbridge/target.h"
 
@@ -28,6 +29,7 @@
   std::uint64_t QueuedTasks = 0;
   std::uint64_t RunningTasks = 0;
   bool Leaving = false;
+  entry_load Load;
 
   bool operator==(const heartbeat &) const = default;
 };
--- a/include/tarragonbridge/shares.h
+++ b/include/tarragonbridge/shares.h
@@ -37,6 +37,8 @@
   std::uint64_t Wanted = 0; ///< in use and queued
   std::uint64_t InUse = 0;
   std::uint64_t LargestNeed = 1; ///< of one task
+
+  bool operator==(const share_demand &) const = default;
 };
 
 /// One host that takes part in a division.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,5 +1,6 @@
 #include "core/membership_p.h"
 
+#include "core/entry_shares_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -7,22 +8,43 @@
 namespace tarragonbridge {
 
 namespace {
-heartbeat ownBeat(const dispatcher_state &State) {
+heartbeat ownBeat(dispatcher_state &State) {
   heartbeat Beat;
   Beat.SettingsRevision = State.Settings.Revision;
   Beat.QueuedTasks = State.Queues.size().Tasks;
   Beat.RunningTasks = State.RunningTasks;
   Beat.Leaving = State.ShuttingDown;
+  Beat.Load = tellLoad(State);
   return Beat;
 }
 
-void sendHeartbeat(const dispatcher_state &State, const member &Member,
+void sendHeartbeat(dispatcher_state &State, const member &Member,
                    effects &Effects) {
   const host_identity To{Member.Host.FailureDomain, Member.Host.Name, 0};
   Effects.emplace_back(
       send_heartbeat{Member.Host.PeerAddress, To, ownBeat(State)});
 }
 
+/// @returns the other hosts that are not leaving, with what they told lately
+std::vector<entry_host> listEntryHosts(const dispatcher_state &State,
+                                       instant Now) {
+  std::vector<entry_host> Others;
+  for (const auto &[Name, Member] : State.Peers.Members) {
+    const bool IsLeaving =
+        Member.Host.State == host_state::Leaving || Member.Beat.Leaving;
+    if (!Member.Listed || IsLeaving) {
+      continue;
+    }
+    const bool IsFresh = Member.Incarnation != 0 &&
+                         Member.LastHeard + config::LoadLifetime > Now.Boot;
+    Others.push_back({Name, Member.Host.FailureDomain, std::nullopt});
+    if (IsFresh) {
+      Others.back().Load = Member.Beat.Load;
+    }
+  }
+  return Others;
+}
+
 void noteBeat(dispatcher_state &State, const host_identity &From,
               const heartbeat &Beat, instant Now) {
   const auto Found = State.Peers.Members.find(From.Host);
@@ -35,13 +57,14 @@
   Found->second.Incarnation = From.Incarnation;
   Found->second.LastHeard = Now.Boot;
   Found->second.Beat = Beat;
+  setEntryHosts(State, listEntryHosts(State, Now), Now);
 }
 
 /// Lists all listed members in a new random order.
 void shuffleOrder(dispatcher_state &State) {
   auto &Order = State.Peers.HeartbeatOrder;
   for (const auto &[Name, Member] : State.Peers.Members) {
-    if (Member.Listed) {
+    if (Member.Listed && !Member.Host.PeerAddress.empty()) {
       Order.push_back(Name);
     }
   }
@@ -85,9 +108,8 @@
     Member.Listed = false;
   }
   for (const host_entry &Host : Event.Hosts) {
-    const bool IsPeer = Host.Role == host_role::Entry &&
-                        !Host.PeerAddress.empty() &&
-                        Host.Name != State.Init.Self.Host;
+    const bool IsPeer =
+        Host.Role == host_role::Entry && Host.Name != State.Init.Self.Host;
     if (!IsPeer) {
       continue;
     }
@@ -101,6 +123,8 @@
     Peers.HeartbeatTimerSet = true;
     setTimer(State, Now.Boot, timer_kind::Heartbeat);
   }
+  setEntryHosts(State, listEntryHosts(State, Now), Now);
+  startShareTimer(State, Now);
 }
 
 const member *findMember(const dispatcher_state &State,
@@ -125,7 +149,7 @@
 
 void announceLeaving(dispatcher_state &State, effects &Effects) {
   for (const auto &[Name, Member] : State.Peers.Members) {
-    if (Member.Listed) {
+    if (Member.Listed && !Member.Host.PeerAddress.empty()) {
       sendHeartbeat(State, Member, Effects);
     }
   }
--- a/src/core/peer_codec.cpp
+++ b/src/core/peer_codec.cpp
@@ -1,12 +1,11 @@
 #include "core/peer_codec_p.h"
 
-#include "core/json_reader.h"
 #include "core/json_text.h"
+#include "core/peer_rows_p.h"
 #include "tarragonbridge/config.h"
 
 #include <array>
 #include <charconv>
-#include <utility>
 
 namespace tarragonbridge {
 
@@ -82,78 +81,6 @@
   return Time.time_since_epoch().count();
 }
 
-/// Reads the members of one JSON array by position.
-class row_reader {
-public:
-  row_reader(json_document &Document, const Json::Value &Row, std::string Path)
-      : Document(Document), Row(Row), Path(std::move(Path)) {}
-
-  bool hasSize(Json::ArrayIndex Size) {
-    if (Row.isArray() && Row.size() == Size) {
-      return true;
-    }
-    return fail("a list of " + std::to_string(Size));
-  }
-  std::string text(Json::ArrayIndex Index) {
-    if (!Row[Index].isString()) {
-      fail("a string at " + std::to_string(Index));
-      return "";
-    }
-    return Row[Index].asString();
-  }
-  std::int64_t number(Json::ArrayIndex Index) {
-    constexpr std::int64_t MaxNumber = 1LL << 50U;
-    const Json::Value &Value = Row[Index];
-    if (!Value.isInt64() || Value.asInt64() < 0 ||
-        Value.asInt64() > MaxNumber) {
-      fail("a number at " + std::to_string(Index));
-      return 0;
-    }
-    return Value.asInt64();
-  }
-  bool boolean(Json::ArrayIndex Index) {
-    return Row[Index].isBool()
-               ? Row[Index].asBool()
-               : fail("a truth value at " + std::to_string(Index));
-  }
-  bool fail(const std::string &Expected) {
-    Document.addFault(Path, &Row, Expected);
-    return false;
-  }
-
-private:
-  json_document &Document;
-  const Json::Value &Row;
-  std::string Path;
-};
-
-void readIdentity(json_document &Document, object_reader &Reader,
-                  const char *Name, host_identity &Out) {
-  std::string Text;
-  if (!Reader.required(Name, Text)) {
-    return;
-  }
-  if (const auto Identity = parseIdentity(Text)) {
-    Out = *Identity;
-    return;
-  }
-  Document.addFault(Name, nullptr, "<failure_domain>.<host>.<incarnation>");
-}
-
-peer_route readRoute(json_document &Document, object_reader &Reader) {
-  peer_route Route;
-  readIdentity(Document, Reader, "from", Route.From);
-  readIdentity(Document, Reader, "to", Route.To);
-  return Route;
-}
-
-Json::Value writeRoute(const peer_route &Route) {
-  Json::Value Root(Json::objectValue);
-  Root["from"] = formatIdentity(Route.From);
-  Root["to"] = formatIdentity(Route.To);
-  return Root;
-}
-
 /// Reads [mode, key, digest, submitted_at_ms, number].
 claim_ask readAsk(json_document &Document, const Json::Value &Value,
                   const std::string &Path) {
@@ -220,42 +147,6 @@
   return "";
 }
 
-/// Reads a list of rows with a function for each.
-template <class T, class Read>
-void readRows(json_document &Document, object_reader &Reader, const char *Name,
-              std::vector<T> &Out, Read &&ReadRow) {
-  const Json::Value *List = Reader.find(Name);
-  if (List == nullptr || !List->isArray() ||
-      List->size() > config::MaxClaimsPerCall) {
-    Document.addFault(Name, List,
-                      "a list of at most " +
-                          std::to_string(config::MaxClaimsPerCall));
-    return;
-  }
-  for (Json::ArrayIndex Index = 0; Index < List->size(); ++Index) {
-    const std::string Path =
-        std::string(Name) + "[" + std::to_string(Index) + "]";
-    Out.push_back(ReadRow(Document, (*List)[Index], Path));
-  }
-}
-
-/// Parses a document of one object with a function that reads its members.
-template <class T, class Read>
-result<T> parseObject(std::string_view Text, Read &&ReadMembers) {
-  json_document Document(Text, json_comments::Refused);
-  T Out;
-  if (Document.isValid()) {
-    object_reader Reader(Document, Document.root(), "");
-    ReadMembers(Document, Reader, Out);
-    Reader.finish();
-  }
-  if (!Document.isValid()) {
-    return boost::leaf::new_error(error{"parse peer message", "peer",
-                                        reason::PeerMalformed,
-                                        Document.faults()});
-  }
-  return Out;
-}
 } // namespace
 
 std::string write(const claims_message &Message) {
@@ -307,22 +198,13 @@
   return writeJson(Root);
 }
 
-std::string write(const heartbeat_message &Message) {
-  Json::Value Root = writeRoute(Message.Route);
-  Root["view"] = Json::UInt64(Message.Beat.ViewVersion);
-  Root["settings"] = Json::Int64(Message.Beat.SettingsRevision);
-  Root["queued"] = Json::UInt64(Message.Beat.QueuedTasks);
-  Root["running"] = Json::UInt64(Message.Beat.RunningTasks);
-  Root["leaving"] = Message.Beat.Leaving;
-  return writeJson(Root);
-}
-
 result<claims_message> parseClaimsMessage(std::string_view Text) {
   return parseObject<claims_message>(
       Text,
       [](json_document &Document, object_reader &Reader, claims_message &Out) {
         Out.Route = readRoute(Document, Reader);
-        readRows(Document, Reader, "claims", Out.Asks, readAsk);
+        readRows(Document, Reader, "claims", config::MaxClaimsPerCall, Out.Asks,
+                 readAsk);
       });
 }
 
@@ -331,7 +213,8 @@
       Text,
       [](json_document &Document, object_reader &Reader, claims_result &Out) {
         readIdentity(Document, Reader, "from", Out.From);
-        readRows(Document, Reader, "answers", Out.Answers, readAnswer);
+        readRows(Document, Reader, "answers", config::MaxClaimsPerCall,
+                 Out.Answers, readAnswer);
       });
 }
 
@@ -367,17 +250,4 @@
       });
 }
 
-result<heartbeat_message> parseHeartbeat(std::string_view Text) {
-  return parseObject<heartbeat_message>(Text, [](json_document &Document,
-                                                 object_reader &Reader,
-                                                 heartbeat_message &Out) {
-    Out.Route = readRoute(Document, Reader);
-    Reader.required("view", Out.Beat.ViewVersion);
-    Reader.required("settings", Out.Beat.SettingsRevision);
-    Reader.required("queued", Out.Beat.QueuedTasks);
-    Reader.required("running", Out.Beat.RunningTasks);
-    Reader.required("leaving", Out.Beat.Leaving);
-  });
-}
-
 } // namespace tarragonbridge
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -15,21 +15,6 @@
 namespace tarragonbridge {
 
 namespace {
-/// @returns the other entry hosts that are not leaving, their loads unknown
-std::vector<entry_host> listEntryHosts(const dispatcher_state &State,
-                                       const hosts_listed &Event) {
-  std::vector<entry_host> Others;
-  for (const host_entry &Host : Event.Hosts) {
-    const bool IsOther = Host.Role == host_role::Entry &&
-                         Host.State == host_state::Live &&
-                         Host.Name != State.Init.Self.Host;
-    if (IsOther) {
-      Others.push_back({Host.Name, Host.FailureDomain, std::nullopt});
-    }
-  }
-  return Others;
-}
-
 /// Joins the list with what this host has out at targets that left it.
 void onHostsListed(dispatcher_state &State, const hosts_listed &Event,
                    instant Now, effects &Effects) {
@@ -48,8 +33,7 @@
     return !Entry.second.Listed && Entry.second.Running.empty();
   });
   refreshCapacity(State);
-  setEntryHosts(State, listEntryHosts(State, Event), Now);
-  startShareTimer(State, Now);
+  updateMembers(State, Event, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -159,7 +143,6 @@
     State.Figures.Reasons.add(Event.Reason);
   }
   void operator()(const hosts_listed &Event) const {
-    updateMembers(State, Event, Now);
     onHostsListed(State, Event, Now, Effects);
   }
   void operator()(const settings_loaded &Event) const {
--- a/src/daemon/peer_calls.cpp
+++ b/src/daemon/peer_calls.cpp
@@ -29,7 +29,9 @@
         {"settings", rpc_type::Number},
         {"queued", rpc_type::Number},
         {"running", rpc_type::Number},
-        {"leaving", rpc_type::Boolean}}},
+        {"leaving", rpc_type::Boolean},
+        {"wanted", rpc_type::Number},
+        {"teams", rpc_type::List}}},
   };
 }
 
--- a/tests/unit/peer_messages_test.cpp
+++ b/tests/unit/peer_messages_test.cpp
@@ -43,7 +43,8 @@
   CHECK(parsed(parseFetchMessage, write(Fetch)) == Fetch);
   const fetch_result Fetched{Two, {fetch_state::Running, 200, "{\"a\":1}"}};
   CHECK(parsed(parseFetchResult, write(Fetched)) == Fetched);
-  const heartbeat_message Beat{{One, Two}, {1, 2, 3, 4, true}};
+  heartbeat_message Beat{{One, Two}, {1, 2, 3, 4, true, {}}};
+  Beat.Beat.Load = {5, {{"agents", {{1, 2, 3}, {4, 5, 6}, {}, {}, {7, 8, 9}}}}};
   CHECK(parsed(parseHeartbeat, write(Beat)) == Beat);
 }
 
