Let operators read, check and change settings over HTTP and by tool

Cause: settings could only be written into the store by hand, unchecked.

Change: GET (also effective and history), PUT and settings-check on the callers' server, on a thread of their own. A write is a compare-and-swap on the subtree's mod_revision with a random edit id; one whose answer was lost is repeated until answered, and the subtree's history then tells whether it is in. "Not accepted" is told only when nothing may yet appear; past 10 s without an answer the refusal says that the outcome is unknown and names the edit. While the store is out of reach edits are refused and what is in force is shown. A store restored to an older state doesn't undo settings: an edit builds on the higher revision that the host holds. The tool has settings get, set, check and history; on 412 it shows the other's change and what to do next.

Ruled out: reading back without repeating the write (the first copy may take effect after the read); taking an error status as "not accepted".

Conclusion: left out are settings diff, the exchange with peers on the RPC, and removing a subtree.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -1,6 +1,7 @@
 #include "cli/command.h"
 
 #include "cli/job_commands.h"
+#include "cli/settings_commands.h"
 #include "cli/status_commands.h"
 #include "core/json_reader.h"
 
@@ -14,6 +15,13 @@
     command{"job", "submit", "submit a job and print its answer", submitJob},
     command{"job", "status", "tell how a job stands", showJob},
     command{"job", "cancel", "cancel a job", cancelJob},
+    command{"settings", "get", "print a subtree, or what is in force",
+            getSettings},
+    command{"settings", "set", "change a subtree", setSettings},
+    command{"settings", "check", "check a subtree before it is set",
+            checkSettings},
+    command{"settings", "history", "print the versions of a subtree",
+            showSettingsHistory},
     command{"status", "", "tell whether a host is well", showStatus},
     command{"targets", "", "list the targets as a host sees them", showTargets},
     command{"peers", "", "list the other entry hosts", showPeers},
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -58,9 +58,16 @@
                                             http_request &&Request) {
     Raw->onRequest(Handle, std::move(Request));
   };
+  const store_client Store(Self->StoreClient, Config.Store);
+  Self->Operators = std::make_unique<operator_api>(
+      Store,
+      [Raw = Self.get()](request_handle Handle, http_response Response) {
+        Raw->Server.respond(Handle, std::move(Response));
+      },
+      [Raw = Self.get()](event &&Event) { Raw->Loop.post(std::move(Event)); });
   BOOST_LEAF_CHECK(Self->Server.start(OnRequest));
   Self->Platform = std::make_unique<platform_watch>(
-      store_client(Self->StoreClient, Config.Store), Config.FailureDomain,
+      Store,
       [Raw = Self.get()](event &&Event) { Raw->Loop.post(std::move(Event)); });
   logEvent("started",
            {{"host", Config.Host},
@@ -97,6 +104,10 @@
   if (answerLocally(Handle, Request)) {
     return;
   }
+  if (operator_api::takes(Request)) {
+    Operators->onRequest(Handle, std::move(Request));
+    return;
+  }
   tryOr(
       [&]() -> result<void> {
         BOOST_LEAF_AUTO(Event, parseCallerRequest(Handle, Request));
@@ -126,7 +137,9 @@
     Times.add(*Observation);
   } else if (const auto *Line = std::get_if<log_line>(&Effect)) {
     logEvent(Line->Event, Line->Fields);
-  } else {
+  } else if (auto *Applied = std::get_if<settings_applied>(&Effect)) {
+    Operators->apply(std::move(Applied->Snapshot));
+  } else if (std::holds_alternative<shutdown_finished>(Effect)) {
     const std::lock_guard Lock(Mutex);
     Finished = true;
     Ready.notify_one();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 
 #include "daemon/caller_api.h"
 #include "daemon/daemon_config.h"
+#include "daemon/operator_api.h"
 #include "daemon/platform_watch.h"
 #include "daemon/target_calls.h"
 #include "daemon/time_summaries.h"
@@ -42,6 +43,7 @@
   http_client TargetClient;
   http_client StoreClient;
   target_calls Targets;
+  std::unique_ptr<operator_api> Operators;
   std::unique_ptr<platform_watch> Platform;
 };
 
