--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -32,6 +32,9 @@
   Unauthorized,
   Forbidden,
   HomeUnreachable,
+  HolderUnreachable,
+  StartPending,
+  ClaimsFull,
   ShuttingDown,
   StoreUnreachable,
   StoreOutcomeUnknown,
@@ -40,6 +43,8 @@
   // Failures of jobs.
   TaskFailed,
   OutcomeUnknown,
+  HomeDied,
+  HolderDied,
   DeadlineExceeded,
   Cancelled,
   RetriesExhausted,
@@ -61,6 +66,9 @@
   AttemptsUsedUp,
   RetryBudgetEmpty,
   // Replies that were counted and not used.
+  PeerMalformed,
+  PeerUnknownMethod,
+  PeerMisdirected,
   LateReply,
   // Settings that were not applied.
   SettingsMalformed,
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,6 +4,7 @@
 #include "daemon/caller_api.h"
 #include "daemon/daemon_config.h"
 #include "daemon/operator_api.h"
+#include "daemon/peer_calls.h"
 #include "daemon/platform_watch.h"
 #include "daemon/target_calls.h"
 #include "daemon/time_summaries.h"
@@ -44,6 +45,7 @@
   http_client StoreClient;
   target_calls Targets;
   std::unique_ptr<operator_api> Operators;
+  peer_calls Peers;
   std::unique_ptr<platform_watch> Platform;
 };
 
