End calls that go silent, whatever libcurl's timers do

Cause: after the HTTP client moved to socket events, libcurl asked a call's progress callback about once a second only for a while.

Change: the client itself asks each such call once a second. The unit test asks for longer than libcurl's own ticks last.

Conclusion: silent watches are noticed by the client itself.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -11,6 +11,7 @@
 #include <curl/curl.h>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <strings.h>
 #include <sys/epoll.h>
@@ -95,11 +96,6 @@
   return Size * Count;
 }
 
-int checkProgress(void *Cls, curl_off_t /*DownTotal*/, curl_off_t /*Down*/,
-                  curl_off_t /*UpTotal*/, curl_off_t /*Up*/) {
-  return static_cast<transfer *>(Cls)->Call.KeepGoing() ? 0 : 1;
-}
-
 void addHeaders(CURL *Easy, transfer &Transfer) {
   Transfer.Headers =
       curl_slist_append(Transfer.Headers, "Content-Type: application/json");
@@ -146,11 +142,6 @@
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Transfer);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, readHeader);
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Transfer);
-  if (Transfer.Call.KeepGoing) {
-    curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, checkProgress);
-    curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, &Transfer);
-    curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
-  }
   addHeaders(Easy, Transfer);
   addBody(Easy, Transfer);
 }
@@ -175,6 +166,8 @@
   std::optional<boot_time> TimerDue; ///< when libcurl wants to be called
   std::vector<CURL *> Idle;
   std::unordered_map<CURL *, std::unique_ptr<transfer>> Active;
+  std::set<CURL *> Checked; ///< calls in Active that have KeepGoing
+  boot_time CheckedAt;
   posix_thread Thread;
 
   void run();
@@ -183,6 +176,8 @@
   void waitForSockets();
   void finishTransfers();
   void finish(CURL *Easy, CURLcode Code);
+  /// Ends the calls whose KeepGoing says so.
+  void checkCalls();
 
   static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *Cls,
                       void *IsWatched);
@@ -271,6 +266,9 @@
       Idle.pop_back();
     }
     prepare(Easy, *Transfer);
+    if (Transfer->Call.KeepGoing) {
+      Checked.insert(Easy);
+    }
     Active.emplace(Easy, std::move(Transfer));
     curl_multi_add_handle(Multi, Easy);
   }
@@ -280,6 +278,7 @@
   const auto Found = Active.find(Easy);
   const std::unique_ptr<transfer> Transfer = std::move(Found->second);
   Active.erase(Found);
+  Checked.erase(Easy);
   http_result &Result = Transfer->Result;
   if (Code == CURLE_OK) {
     long Status = 0;
@@ -313,11 +312,25 @@
   }
 }
 
+void http_client::impl::checkCalls() {
+  if (Checked.empty() || bootNow() - CheckedAt < PollInterval) {
+    return;
+  }
+  CheckedAt = bootNow();
+  const std::vector<CURL *> Calls(Checked.begin(), Checked.end());
+  for (CURL *Easy : Calls) {
+    if (!Active.at(Easy)->Call.KeepGoing()) {
+      finish(Easy, CURLE_ABORTED_BY_CALLBACK);
+    }
+  }
+}
+
 void http_client::impl::run() {
   while (!Stopping) {
     takeIncoming();
     waitForSockets();
     finishTransfers();
+    checkCalls();
   }
   while (!Active.empty()) {
     finish(Active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -141,7 +141,7 @@
   http_call Call;
   Call.Url = "http://127.0.0.1:19404/";
   Call.Timeout = std::chrono::seconds(20);
-  Call.KeepGoing = [&] { return bootNow() - Started < milliseconds(300); };
+  Call.KeepGoing = [&] { return bootNow() - Started < milliseconds(2'500); };
   const http_result Result = sendAndWait(Client, std::move(Call));
   CHECK(Result.Status == 0);
   CAPTURE(IsBegun);
--- a/tests/unit/limits_random_test.cpp
+++ b/tests/unit/limits_random_test.cpp
@@ -23,7 +23,7 @@
 
   explicit random_run(std::uint64_t Seed) : Random(Seed) {
     team_settings Limited;
-    Limited.MaxRunningTasks = Limit;
+    Limited.Limits.MaxRunningTasks = Limit;
     loadTeams({{"a", Limited}, {"b", Limited}, {"free", {}}});
     listTargets(3, 8, Capacity);
   }
