--- /dev/null
+++ b/tools/docs/settings_page.cpp
@@ -0,0 +1,33 @@
+/// Prints docs/SETTINGS.md from the table of keys.
+#include "tarragonbridge/settings.h"
+
+#include <iostream>
+
+using namespace tarragonbridge;
+
+int main() {
+  std::cout
+      << "# Settings\n\n"
+         "Each path is a subtree: `/` the root, then one for each team, nested "
+         "by `/`. The nearest\nvalue counts; a limit never exceeds one further "
+         "up. This page is printed from the table in\n"
+         "`src/core/settings_fields.cpp` by `scripts/docs`.\n\n"
+         "| key | unit | bounds | default | meaning |\n|---|---|---|---|---|\n";
+  for (const settings_field &Field : settingsFields()) {
+    const bool IsUnlimited = Field.IsLimit && Field.Default == 0;
+    std::cout << "| `" << Field.Name << "` | " << Field.Unit << " | "
+              << Field.Least << " to " << Field.Most << " | "
+              << (IsUnlimited ? "no limit" : std::to_string(Field.Default))
+              << " | " << Field.Text << " |\n";
+  }
+  std::cout
+      << "| `failure_domains` | names | one or more, root only | the host's "
+         "own | Failure domains of the system. |\n"
+         "| `operators` | list of `{name, token_sha256}` | 1 to "
+      << config::MaxOperators
+      << ", the root first | none: anyone | Who may change the subtree and "
+         "those below that name none. |\n"
+         "| `why` | text | up to "
+      << config::MaxSettingsNoteBytes
+      << " bytes | none | Why the edit is made; kept in the history. |\n";
+}
