--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -40,6 +40,7 @@
   StoreUnreachable,
   StoreOutcomeUnknown,
   StoreBudgetSpent,
+  RevisionChanged,
   // Failures of jobs.
   TaskFailed,
   OutcomeUnknown,
@@ -70,6 +71,10 @@
   PeerUnknownMethod,
   PeerMisdirected,
   LateReply,
+  // Settings that were not applied.
+  SettingsMalformed,
+  SettingsBehind,
+  SettingsConflict,
   Count
 };
 
