Keep a target that said it is leaving out while the host list lags

Cause: the next host list, which lags, said live again and undid the target's own word, so it was sent new work until the list caught up. Change: its word holds for LeavingHold, then the list counts again.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -54,6 +54,7 @@
 constexpr retry_budget_limits TargetRetryBudget{.PerAttempt = 0.2, .Burst = 10};
 
 // Placement.
+constexpr milliseconds LeavingHold{20'000}; ///< past the host list's lag
 constexpr milliseconds ForeignTrip{3}; ///< to another failure domain and back
 constexpr milliseconds MinSlotProbeInterval{50};
 constexpr milliseconds MaxSlotProbeInterval{4'000};
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -45,6 +45,9 @@
     target_record &Target = Found->second;
     Target.Order = IsNew ? State.Random() : Target.Order;
     Target.Host = Host;
+    if (Target.LeavingUntil > Now.Boot) {
+      Target.Host.State = host_state::Leaving;
+    }
     Target.Listed = true;
   }
   std::erase_if(State.Targets, [](const auto &Entry) {
--- a/src/core/retries.cpp
+++ b/src/core/retries.cpp
@@ -80,6 +80,7 @@
   State.Figures.Reasons.add(Reason);
   if (Reason == reason::TargetLeaving) {
     Target.Host.State = host_state::Leaving;
+    Target.LeavingUntil = Now.Boot + config::LeavingHold;
   }
   // Past its budget a target is asked again only at the longest interval.
   const std::uint32_t Round =
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -106,6 +106,7 @@
   bool Listed = true;
   std::uint32_t SlotShare = 0; ///< slots that this host may use
   std::map<attempt_id, attempt_record> Running;
+  boot_time LeavingUntil;     ///< said so itself, whatever the list says
   boot_time FullUntil;        ///< no start before this after a refusal
   std::uint32_t Refusals = 0; ///< in a row
   bool RenewalOut = false;    ///< a batch of renewals waits for its answer
--- a/tests/unit/attempts_test.cpp
+++ b/tests/unit/attempts_test.cpp
@@ -159,3 +159,19 @@
   CHECK(Sent >= Jobs + 100);
   CHECK(figures(*Fixture.State).JobsFailed == Jobs);
 }
+
+TEST_CASE("a target that said it is leaving gets nothing new while the list "
+          "lags",
+          "[attempts]") {
+  dispatcher_fixture Fixture;
+  Fixture.listTargets(1, 4, {64, 65'536, 0});
+  const auto Start = only<start_task>(Fixture.submit(1, false)).at(0);
+  Fixture.reply(Start, reply_kind::NotRun, reason::TargetLeaving);
+  Fixture.listTargets(1, 4, {64, 65'536, 0});
+  Fixture.advance(milliseconds(2'000));
+  CHECK(Fixture.Started.size() == 1);
+  Fixture.advance(config::LeavingHold);
+  Fixture.listTargets(1, 4, {64, 65'536, 0});
+  CHECK(Fixture.submit(2, false).size() > 0);
+  CHECK(Fixture.Started.size() >= 2);
+}
