--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,6 +1,7 @@
 #include "core/attempts_p.h"
 #include "core/capacity_p.h"
 #include "core/dispatch_p.h"
+#include "core/ended_jobs_p.h"
 #include "core/entry_shares_p.h"
 #include "core/home_p.h"
 #include "core/home_questions_p.h"
@@ -16,21 +17,6 @@
 namespace tarragonbridge {
 
 namespace {
-/// @returns the other entry hosts that are not leaving, their loads unknown
-std::vector<entry_host> listEntryHosts(const dispatcher_state &State,
-                                       const hosts_listed &Event) {
-  std::vector<entry_host> Others;
-  for (const host_entry &Host : Event.Hosts) {
-    const bool IsOther = Host.Role == host_role::Entry &&
-                         Host.State == host_state::Live &&
-                         Host.Name != State.Init.Self.Host;
-    if (IsOther) {
-      Others.push_back({Host.Name, Host.FailureDomain, std::nullopt});
-    }
-  }
-  return Others;
-}
-
 /// Joins the list with what this host has out at targets that left it.
 void onHostsListed(dispatcher_state &State, const hosts_listed &Event,
                    instant Now, effects &Effects) {
@@ -55,8 +41,7 @@
   });
   rebuildIndex(State, Now.Boot);
   refreshCapacity(State);
-  setEntryHosts(State, listEntryHosts(State, Event), Now);
-  startShareTimer(State, Now);
+  updateMembers(State, Event, Now);
   dispatchQueued(State, Now, Effects);
 }
 
@@ -77,9 +62,6 @@
   case timer_kind::Deadline:
     onDeadline(State, Timer.Key, Now, Effects);
     return true;
-  case timer_kind::Forget:
-    onForget(State, Timer.Key);
-    return false;
   case timer_kind::Wait:
     onWaitOver(State, Timer.Key, Now, Effects);
     return false;
@@ -166,7 +148,6 @@
     State.Figures.Reasons.add(Event.Reason);
   }
   void operator()(const hosts_listed &Event) const {
-    updateMembers(State, Event, Now);
     onHostsListed(State, Event, Now, Effects);
   }
   void operator()(const settings_loaded &Event) const {
@@ -215,6 +196,7 @@
   std::visit(event_visitor{State, Now, Effects}, Event);
   fireDueTimers(State, Now, Effects);
   tellShutdown(State, Effects);
+  retireEndedJobs(State, Now);
   return Effects;
 }
 
@@ -229,7 +211,7 @@
   dispatcher_figures Figures = State.Figures;
   Figures.TasksQueued = State.Queues.size().Tasks;
   Figures.TasksRunning = State.RunningTasks;
-  Figures.JobsKept = State.Jobs.size();
+  Figures.JobsKept = State.Jobs.size() + State.Answers.size();
   Figures.Targets = State.Targets.size();
   Figures.SettingsRevision = State.Settings.Revision;
   return Figures;
