--- /dev/null
+++ b/tools/fuzz/parse_fuzz.cpp
@@ -0,0 +1,87 @@
+/// Fuzzing of every function that parses input from outside the process.
+///
+/// The first byte of an input chooses the function, the rest is its text.
+#include "checker/call_journal.h"
+#include "checker/records.h"
+#include "daemon/daemon_config.h"
+#include "fault_proxy/faults.h"
+#include "net/address.h"
+#include "platform/store_messages.h"
+#include "tarragonbridge/job.h"
+#include "tarragonbridge/settings.h"
+#include "tarragonbridge/target.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+using namespace tarragonbridge;
+
+namespace {
+using parser = void (*)(std::string_view);
+
+/// Calls a function that returns a result, and drops value or error.
+template <class Parse> void attempt(Parse &&Run) {
+  tryOr(
+      [&]() -> result<void> {
+        BOOST_LEAF_CHECK(Run());
+        return {};
+      },
+      [](const error &) {});
+}
+
+void fuzzJob(std::string_view Text) {
+  attempt([&] { return parseJobRequest(Text, ""); });
+}
+void fuzzSession(std::string_view Text) { (void)parseSessionHome(Text); }
+void fuzzHost(std::string_view Text) {
+  attempt([&] { return parseHostEntry("t1", Text); });
+}
+void fuzzReply(std::string_view Text) {
+  (void)parseTargetReply(200, Text, "k#0", 1);
+  (void)parseTargetReply(503, Text, "k#0", 1);
+}
+void fuzzStopReply(std::string_view Text) { (void)parseStopReply(200, Text); }
+void fuzzRange(std::string_view Text) { (void)parseRange(Text); }
+void fuzzOutcome(std::string_view Text) { (void)parseOutcome(Text); }
+void fuzzWatch(std::string_view Text) { (void)parseWatchMessage(Text); }
+void fuzzAddress(std::string_view Text) { (void)parseAddress(Text); }
+void fuzzConfig(std::string_view Text) {
+  attempt([&] { return parseDaemonConfig(Text, "file"); });
+}
+void fuzzRootSettings(std::string_view Text) {
+  const std::vector<settings_document> Documents{{"", std::string(Text)}};
+  attempt([&] { return parseSettings(2, Documents, "curepipe"); });
+}
+void fuzzTeamSettings(std::string_view Text) {
+  const std::vector<settings_document> Documents{{"agents", std::string(Text)}};
+  attempt([&] { return parseSettings(2, Documents, "curepipe"); });
+}
+void fuzzCallLine(std::string_view Text) {
+  attempt([&] { return parseCallLine(Text); });
+}
+void fuzzTargetLine(std::string_view Text) { (void)parseTargetLine(Text); }
+void fuzzFaults(std::string_view Text) {
+  link_faults Faults;
+  attempt([&] { return applyFaults(Text, Faults); });
+}
+
+constexpr std::array<parser, 15> Parsers{
+    fuzzJob,       fuzzSession,    fuzzHost,         fuzzReply,
+    fuzzStopReply, fuzzRange,      fuzzOutcome,      fuzzWatch,
+    fuzzAddress,   fuzzConfig,     fuzzRootSettings, fuzzTeamSettings,
+    fuzzCallLine,  fuzzTargetLine, fuzzFaults};
+} // namespace
+
+// NOLINTNEXTLINE(readability-identifier-naming): name set by libFuzzer
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  if (Size == 0) {
+    return 0;
+  }
+  const std::string_view Text(reinterpret_cast<const char *>(Data + 1),
+                              Size - 1);
+  Parsers.at(Data[0] % Parsers.size())(Text);
+  return 0;
+}
