Move shares of slots by the heartbeats' demand

Cause: every load counted as unknown, so shares were equal whatever the demand. A task that needed more cores than its host's part of the limit would also have waited for ever.

Ruled out: using the own demand of a team while heartbeats tell none (each host would then take more than its part at the same time).

Change: running and queued tasks of heartbeats not older than 10 s move the slots; limits are divided evenly until heartbeats tell demand for each team. A task larger than its host's part runs there alone.

Figures (unit test, 32 slots, two hosts): 24 for the host with work once the other one has told that it wants none, 16 before, and 16 when both want all.

Conclusion: an idle host's slots are used by others within seconds.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -36,6 +36,7 @@
 constexpr int FastTargetMargin = 2;    ///< fastest speed over the average
 
 // Shares of entry hosts.
+constexpr milliseconds MaxLoadAge{10'000}; ///< of a heartbeat's figures
 /// Period after which units that are too few for all hosts change holders.
 constexpr milliseconds ShareTurn{1'000};
 
--- a/include/tarragonbridge/entry_load.h
+++ b/include/tarragonbridge/entry_load.h
@@ -1,28 +1,15 @@
-/// Load of entry hosts, from which their shares are computed.
+/// Load of entry hosts, from which their shares of slots are computed.
 #pragma once
 
-#include "tarragonbridge/shares.h"
-
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 
 namespace tarragonbridge {
 
-/// What one host wants and uses of the limits of a team.
-struct team_load {
-  share_demand Tasks;
-  share_demand Starts; ///< a second
-  share_demand Cores;
-  share_demand MemoryMb;
-  share_demand Accelerators;
-};
-
 /// What one host tells of its load.
 struct entry_load {
   std::uint64_t WantedSlots = 0; ///< tasks running and queued
-  std::map<std::string, team_load, std::less<>> Teams; ///< those with limits
 };
 
 /// An entry host as last heard.
--- a/include/tarragonbridge/team_limits.h
+++ b/include/tarragonbridge/team_limits.h
@@ -60,6 +60,9 @@
 
 /// Holds the use of one team at one host under its share of the limits.
 ///
+/// @remarks A task that needs more of a resource than the share of this host
+/// runs while the team uses none of it here, so each host may exceed its share
+/// by one task. Callers check needs by everAllows() first.
 /// @remarks Starts are paced evenly, after a burst of up to BurstWindow: in
 /// any period P at most StartsPerSecond * (P + BurstWindow) + 1 tasks start.
 class team_limiter {
--- a/src/core/entry_shares.cpp
+++ b/src/core/entry_shares.cpp
@@ -2,6 +2,7 @@
 
 #include "core/teams_p.h"
 #include "tarragonbridge/config.h"
+#include "tarragonbridge/shares.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,24 +10,6 @@
 namespace tarragonbridge {
 
 namespace {
-share_demand demandOf(std::uint64_t InUse, std::uint64_t Queued,
-                      std::uint64_t LargestNeed) {
-  return {InUse + Queued * LargestNeed, InUse,
-          std::max<std::uint64_t>(1, LargestNeed)};
-}
-
-team_load loadOf(const dispatcher_state &State, std::string_view Name,
-                 const team_record &Team) {
-  const team_use &Use = Team.Limiter.use();
-  const std::uint64_t Queued = State.Queues.size(Name).Tasks;
-  const share_demand Tasks = demandOf(Use.RunningTasks, Queued, 1);
-  return {Tasks,
-          {Tasks.Wanted, 0, 1},
-          demandOf(Use.Cores, Queued, Team.LargestNeeds.Cores),
-          demandOf(Use.MemoryMb, Queued, Team.LargestNeeds.MemoryMb),
-          demandOf(Use.Accelerators, Queued, Team.LargestNeeds.Accelerators)};
-}
-
 /// @param[in] FailureDomain members of this one only, empty for all
 /// @param[in] Demand tells the demand of a known load
 /// @returns this host first, then the others
@@ -97,19 +80,16 @@
 
   /// @param[in] Units the limit, 0 for none
   /// @param[in] Kind name of the limit
-  /// @param[in] Demand member of team_load
-  std::uint64_t divide(std::uint64_t Units, std::string_view Kind,
-                       share_demand team_load::*Demand) const {
+  std::uint64_t divide(std::uint64_t Units, std::string_view Kind) const {
     if (Units == 0) {
       return limit_share::Unlimited;
     }
-    const auto OfTeam = [&](const entry_load &Load) {
-      const auto Found = Load.Teams.find(Team);
-      return std::optional(Found == Load.Teams.end() ? share_demand{}
-                                                     : Found->second.*Demand);
+    // Heartbeats tell no demand of teams, so that of all hosts is unknown.
+    const auto Unknown = [](const entry_load & /*Load*/) {
+      return std::optional<share_demand>();
     };
     const std::string Name = Team + "/" + std::string(Kind);
-    return usableShare({Name, Units, Turn}, listMembers(State, "", OfTeam),
+    return usableShare({Name, Units, Turn}, listMembers(State, "", Unknown),
                        State.Init.Self.Host);
   }
 
@@ -124,37 +104,37 @@
     const team_limits Limits = limitsOf(Settings);
     const limit_divider Divider(State, Name, Now);
     limit_share Share;
-    Share.RunningTasks =
-        Divider.divide(Limits.MaxRunningTasks, "tasks", &team_load::Tasks);
-    Share.StartsPerSecond =
-        Divider.divide(Limits.MaxStartsPerSecond, "starts", &team_load::Starts);
-    Share.Cores = Divider.divide(Limits.MaxCores, "cores", &team_load::Cores);
-    Share.MemoryMb =
-        Divider.divide(Limits.MaxMemoryMb, "memory", &team_load::MemoryMb);
-    Share.Accelerators = Divider.divide(Limits.MaxAccelerators, "accelerators",
-                                        &team_load::Accelerators);
+    Share.RunningTasks = Divider.divide(Limits.MaxRunningTasks, "tasks");
+    Share.StartsPerSecond = Divider.divide(Limits.MaxStartsPerSecond, "starts");
+    Share.Cores = Divider.divide(Limits.MaxCores, "cores");
+    Share.MemoryMb = Divider.divide(Limits.MaxMemoryMb, "memory");
+    Share.Accelerators = Divider.divide(Limits.MaxAccelerators, "accelerators");
     State.Teams[Name].Limiter.setShare(Share);
   }
 }
-} // namespace
-
-entry_load tellLoad(dispatcher_state &State) {
-  entry_load Load;
-  Load.WantedSlots = State.RunningTasks + State.Queues.size().Tasks;
-  for (const auto &[Name, Settings] : State.Settings.Teams) {
-    const auto Team = State.Teams.find(Name);
-    const bool IsLimited = limitsOf(Settings) != team_limits{};
-    if (Team == State.Teams.end() || !IsLimited) {
-      continue;
-    }
-    const team_load OfTeam = loadOf(State, Name, Team->second);
-    if (OfTeam.Tasks.Wanted != 0) {
-      Load.Teams.emplace(Name, OfTeam);
-    }
+/// @returns the load in the latest heartbeat of a host, unless that is too old
+std::optional<entry_load> loadOfMember(const dispatcher_state &State,
+                                       const std::string &Name, instant Now) {
+  const auto Found = State.Peers.Members.find(Name);
+  if (Found == State.Peers.Members.end()) {
+    return std::nullopt;
   }
-  State.Shares.Told = Load;
+  const member &Member = Found->second;
+  const bool IsHeard = Member.Incarnation != 0 &&
+                       Member.LastHeard + config::MaxLoadAge > Now.Boot;
+  if (!IsHeard) {
+    return std::nullopt;
+  }
+  const heartbeat &Beat = Member.Beat;
+  entry_load Load;
+  Load.WantedSlots = Beat.Leaving ? 0 : Beat.RunningTasks + Beat.QueuedTasks;
   return Load;
 }
+} // namespace
+
+void tellLoad(dispatcher_state &State) {
+  State.Shares.Told = {State.RunningTasks + State.Queues.size().Tasks};
+}
 
 void setEntryHosts(dispatcher_state &State, std::vector<entry_host> Others,
                    instant Now) {
@@ -163,6 +143,9 @@
 }
 
 void refreshShares(dispatcher_state &State, instant Now) {
+  for (entry_host &Other : State.Shares.Others) {
+    Other.Load = loadOfMember(State, Other.Name, Now);
+  }
   refreshSlots(State);
   refreshLimits(State, Now);
 }
--- a/src/core/entry_shares_p.h
+++ b/src/core/entry_shares_p.h
@@ -5,17 +5,16 @@
 
 namespace tarragonbridge {
 
-/// Takes the load of this host for a heartbeat.
+/// Notes the load that this host tells in a heartbeat.
 ///
-/// @returns what is to be told to the other hosts
 /// @remarks Own shares follow from the load told last, so that all hosts
 /// compute from the same figures.
-entry_load tellLoad(dispatcher_state &State);
+void tellLoad(dispatcher_state &State);
 
 /// Takes over what is known of the other entry hosts.
 ///
 /// @param[in] Others members of all failure domains without this host; those
-/// that are leaving are left out
+/// that are leaving are left out. Their loads are those of their heartbeats.
 void setEntryHosts(dispatcher_state &State, std::vector<entry_host> Others,
                    instant Now);
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,5 +1,6 @@
 #include "core/membership_p.h"
 
+#include "core/entry_shares_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -7,7 +8,8 @@
 namespace tarragonbridge {
 
 namespace {
-heartbeat ownBeat(const dispatcher_state &State) {
+heartbeat ownBeat(dispatcher_state &State) {
+  tellLoad(State);
   heartbeat Beat;
   Beat.SettingsRevision = State.Settings.Revision;
   Beat.QueuedTasks = State.Queues.size().Tasks;
@@ -16,7 +18,7 @@
   return Beat;
 }
 
-void sendHeartbeat(const dispatcher_state &State, const member &Member,
+void sendHeartbeat(dispatcher_state &State, const member &Member,
                    effects &Effects) {
   const host_identity To{Member.Host.FailureDomain, Member.Host.Name, 0};
   Effects.emplace_back(
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -110,8 +110,7 @@
 /// Use of a team's limits by this host.
 struct team_record {
   team_limiter Limiter;
-  resources LargestNeeds; ///< of tasks queued since it was last idle
-  boot_time WakeAt;       ///< latest timer set for its rate of starts
+  boot_time WakeAt; ///< latest timer set for its rate of starts
 };
 
 /// What shares are computed from.
--- a/src/core/team_limits.cpp
+++ b/src/core/team_limits.cpp
@@ -20,6 +20,13 @@
   return (Second + microseconds(Rate - 1)) / Rate;
 }
 
+/// @returns whether a task may take this much of a resource
+bool mayTake(std::uint64_t Limit, std::uint64_t Use, std::uint64_t More) {
+  // Admission has checked the need against the limit of all hosts.
+  const bool IsAlone = Use == 0 && Limit != 0;
+  return IsAlone || isWithin(Limit, Use, More);
+}
+
 std::uint64_t orUnlimited(std::uint64_t Limit) {
   return Limit == 0 ? limit_share::Unlimited : Limit;
 }
@@ -42,13 +49,13 @@
   if (!isWithin(Share.RunningTasks, Use.RunningTasks, 1)) {
     return limit_kind::RunningTasks;
   }
-  if (!isWithin(Share.Cores, Use.Cores, Needs.Cores)) {
+  if (!mayTake(Share.Cores, Use.Cores, Needs.Cores)) {
     return limit_kind::Cores;
   }
-  if (!isWithin(Share.MemoryMb, Use.MemoryMb, Needs.MemoryMb)) {
+  if (!mayTake(Share.MemoryMb, Use.MemoryMb, Needs.MemoryMb)) {
     return limit_kind::MemoryMb;
   }
-  if (!isWithin(Share.Accelerators, Use.Accelerators, Needs.Accelerators)) {
+  if (!mayTake(Share.Accelerators, Use.Accelerators, Needs.Accelerators)) {
     return limit_kind::Accelerators;
   }
   if (nextStart() > Now) {
--- a/src/core/teams.cpp
+++ b/src/core/teams.cpp
@@ -23,23 +23,15 @@
 
 void noteNeeds(dispatcher_state &State, const job_record &Job,
                std::uint32_t Begin, std::uint32_t End) {
-  team_record &Team = State.Teams[Job.Team];
-  const bool IsIdle = Team.Limiter.use().RunningTasks == 0 &&
-                      State.Queues.size(Job.Team).Tasks == 0;
-  resources Largest = IsIdle ? resources{0, 0, 0} : Team.LargestNeeds;
   resources Smallest = State.Queues.size().Tasks == 0
                            ? Job.Tasks[Begin].Request.Needs
                            : State.SmallestNeeds;
   for (std::uint32_t Task = Begin; Task < End; ++Task) {
     const resources &Needs = Job.Tasks[Task].Request.Needs;
-    Largest = {std::max(Largest.Cores, Needs.Cores),
-               std::max(Largest.MemoryMb, Needs.MemoryMb),
-               std::max(Largest.Accelerators, Needs.Accelerators)};
     Smallest = {std::min(Smallest.Cores, Needs.Cores),
                 std::min(Smallest.MemoryMb, Needs.MemoryMb),
                 std::min(Smallest.Accelerators, Needs.Accelerators)};
   }
-  Team.LargestNeeds = Largest;
   State.SmallestNeeds = Smallest;
 }
 
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -86,6 +86,24 @@
   CHECK(Started.size() == 4);
 }
 
+TEST_CASE_METHOD(dispatch_fixture, "shares of slots follow heartbeats") {
+  listTargets(4, 8, Large, 1);
+  const std::uint64_t OtherWants = GENERATE(0, 100);
+  const bool IsHeard = GENERATE(true, false);
+  apply(job(Burst, "a", 100));
+  CHECK(Started.size() == 16);
+  if (IsHeard) {
+    heartbeat Beat;
+    Beat.QueuedTasks = OtherWants;
+    apply(heartbeat_received{
+        request_handle{9},
+        {{"curepipe", "other-0", 5}, {"curepipe", "cp-1", 7}},
+        Beat});
+  }
+  advance(config::ShareTurn);
+  CHECK(Started.size() == (IsHeard && OtherWants == 0 ? 24 : 16));
+}
+
 TEST_CASE_METHOD(dispatch_fixture, "team limits are shared in turns") {
   team_settings Settings;
   Settings.MaxRunningTasks = 1;
--- a/tests/unit/dispatcher_fixture.h
+++ b/tests/unit/dispatcher_fixture.h
@@ -75,6 +75,7 @@
       Host.Name = "other-" + std::to_string(Index);
       Host.Role = host_role::Entry;
       Host.FailureDomain = "curepipe";
+      Host.PeerAddress = "127.0.0.1:1";
       Event.Hosts.push_back(Host);
     }
     for (int Index = 0; Index < Count; ++Index) {
--- a/tests/unit/team_limits_test.cpp
+++ b/tests/unit/team_limits_test.cpp
@@ -31,6 +31,8 @@
       {shareOf(100, 5, 1000, 100), 2, limit_kind::Cores},
       {shareOf(100, 100, 499, 100), 4, limit_kind::MemoryMb},
       {shareOf(100, 100, 1000, 5), 5, limit_kind::Accelerators},
+      {shareOf(100, 1, 1000, 100), 1, limit_kind::Cores},
+      {shareOf(100, 100, 1000, 0), 0, limit_kind::Accelerators},
       {shareOf(0, 100, 1000, 5), 0, limit_kind::RunningTasks},
       {limit_share{}, 50, std::nullopt},
   }));
