Keep settings as a tree of subtrees that never reverts

Cause: settings were one flat list, read by polling each second; a subtree had two keys, a fault in one stopped all, and an older state of the store would have been applied as soon as its revision was high enough.

Change: a root and one subtree a team, nested by path; a table of eleven numeric keys with unit, bound and default; the nearest value counts, and a limit never exceeds one further up. All faults of a subtree come at once, with path, line and what was expected. Each subtree has a revision of its own that a writer takes above all it knows, with edit id, who, when, why and a bounded history. The reducer takes settings from store and peers as offers and applies only higher revisions; a faulty subtree is counted and the last good one stays; a store that has less or other than this host is counted, logged once and shown in status. Settings and host list are followed by watch: a silent one is renewed from where it stood, a cut or compacted one, or a store older than seen, leads to a whole read.

Ruled out: the store's mod_revision as the settings revision (after a restore to an older state the accepted edits that follow would be lower than what hosts hold, and ignored); refusing to lower a parent below its children (the parent's operators must be able to; children are bounded at the parent's limit instead).

Teams use max_attempts, retry_percent and default_time_limit_ms of theirs.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -50,6 +50,7 @@
 constexpr milliseconds RetryBackoff{10};
 constexpr milliseconds MaxBackoff{1'000};
 constexpr std::uint32_t MaxAttemptsPerTask = 5;
+constexpr std::uint32_t DefaultRetryPercent = 20; ///< of first attempts
 constexpr retry_budget_limits TeamRetryBudget{.PerAttempt = 0.2, .Burst = 100};
 constexpr retry_budget_limits TargetRetryBudget{.PerAttempt = 0.2, .Burst = 10};
 
@@ -69,14 +70,24 @@
 
 // The platform's store.
 constexpr milliseconds StoreTimeout{3'000};
-constexpr milliseconds StorePollInterval{1'000};
-constexpr double StoreCallsPerSecond = 10; ///< budget of one host
-constexpr double StoreCallBurst = 30;      ///< calls
+constexpr milliseconds StoreRefreshInterval{1'800'000}; ///< of whole reads
+constexpr double StoreCallsPerSecond = 10;              ///< budget of one host
+constexpr double StoreCallBurst = 30;                   ///< calls
 constexpr milliseconds StoreBackoffFirst{100};
 constexpr milliseconds StoreBackoffMost{3'000};
 constexpr milliseconds WatchSilence{3'000}; ///< renewed when silent for longer
 constexpr std::size_t MaxWatchLineBytes = 64U << 20U;
 
+// Settings.
+constexpr std::size_t MaxSettingsBytes = 64U << 10U; ///< of one subtree
+constexpr std::size_t MaxStoredBytes = 512U << 10U;  ///< with its history
+constexpr std::size_t MaxSettingsHistory = 20;       ///< versions
+constexpr std::size_t MaxSettingsPathBytes = 128;
+constexpr std::size_t MaxSettingsNoteBytes = 1'000; ///< of `why`
+constexpr std::size_t MaxOperators = 32;            ///< of one subtree
+constexpr milliseconds SettingsWriteTime{10'000};   ///< to settle an edit
+constexpr std::size_t MaxOperatorRequests = 64;     ///< waiting
+
 // Shutdown.
 constexpr milliseconds MaxShutdownTime{60'000};
 
--- a/include/tarragonbridge/event.h
+++ b/include/tarragonbridge/event.h
@@ -3,6 +3,7 @@
 
 #include "tarragonbridge/caller_events.h"
 #include "tarragonbridge/platform_events.h"
+#include "tarragonbridge/settings_events.h"
 #include "tarragonbridge/target_events.h"
 
 #include <cstdint>
@@ -15,13 +16,18 @@
 
 struct shutdown_requested {};
 struct timer_fired {};
+/// A refusal that was decided outside the reducer, to be counted.
+struct reason_counted {
+  reason Reason = reason::Malformed;
+};
 
 using event =
     std::variant<session_requested, job_submitted, job_queried, job_cancelled,
                  status_requested,                             // callers
                  task_replied, leases_answered, stop_answered, // targets
-                 hosts_listed, settings_loaded,                // platform
-                 shutdown_requested, timer_fired>;
+                 hosts_listed, store_contact,                  // platform
+                 settings_loaded, settings_offered, settings_unreadable,
+                 reason_counted, shutdown_requested, timer_fired>;
 
 /// Writes one line of key=value pairs.
 struct log_line {
@@ -42,8 +48,9 @@
 /// Nothing is in flight any more and the process may end.
 struct shutdown_finished {};
 
-using effect = std::variant<answer_request,                      // callers
-                            start_task, stop_task, renew_leases, // targets
-                            log_line, observe_time, shutdown_finished>;
+using effect =
+    std::variant<answer_request,                      // callers
+                 start_task, stop_task, renew_leases, // targets
+                 settings_applied, log_line, observe_time, shutdown_finished>;
 
 } // namespace tarragonbridge
--- a/include/tarragonbridge/job.h
+++ b/include/tarragonbridge/job.h
@@ -38,7 +38,7 @@
   std::string Team;
   std::string Class;
   wall_time SubmittedAt;
-  milliseconds TimeLimit{};
+  milliseconds TimeLimit{}; ///< zero: the team's default
   bool Repeatable = false;
   std::vector<task_request> Tasks;
   std::uint64_t Digest = 0; ///< hash of all fields, tells a reused key
--- a/include/tarragonbridge/platform_events.h
+++ b/include/tarragonbridge/platform_events.h
@@ -1,7 +1,6 @@
-/// Events of the platform: its host list and the settings in its store.
+/// Events of the platform's host list.
 #pragma once
 
-#include "tarragonbridge/settings.h"
 #include "tarragonbridge/target.h"
 
 #include <vector>
@@ -11,8 +10,5 @@
 struct hosts_listed {
   std::vector<host_entry> Hosts;
 };
-struct settings_loaded {
-  settings_tree Settings;
-};
 
 } // namespace tarragonbridge
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -36,6 +36,7 @@
   StoreUnreachable,
   StoreOutcomeUnknown,
   StoreBudgetSpent,
+  RevisionChanged,
   // Failures of jobs.
   TaskFailed,
   OutcomeUnknown,
@@ -61,6 +62,10 @@
   RetryBudgetEmpty,
   // Replies that were counted and not used.
   LateReply,
+  // Settings that were not applied.
+  SettingsMalformed,
+  SettingsBehind,
+  SettingsConflict,
   Count
 };
 
--- a/include/tarragonbridge/retry_budget.h
+++ b/include/tarragonbridge/retry_budget.h
@@ -17,7 +17,11 @@
   explicit retry_budget(const retry_budget_limits &Limits)
       : Limits(Limits), Tokens(Limits.Burst) {}
 
-  void earn() { Tokens = std::min(Limits.Burst, Tokens + Limits.PerAttempt); }
+  void earn() { earn(Limits.PerAttempt); }
+  /// @param[in] Retries earned in place of PerAttempt
+  void earn(double Retries) {
+    Tokens = std::min(Limits.Burst, Tokens + Retries);
+  }
 
   /// Takes one retry. @returns false when the budget is used up
   bool take() {
--- a/src/core/capacity.cpp
+++ b/src/core/capacity.cpp
@@ -38,7 +38,7 @@
 }
 
 bool everFits(const dispatcher_state &State, const job_request &Job) {
-  const team_limits Limits = limitsOf(State.Settings.Teams.at(Job.Team));
+  const team_limits &Limits = State.Settings.Teams.at(Job.Team).Limits;
   const queue_size Size = sizeOf(Job);
   const bool FitsQueue = Size.Tasks <= AllQueues.MaxTasks &&
                          Size.Bytes <= AllQueues.MaxBytes &&
--- a/src/core/entry_shares.cpp
+++ b/src/core/entry_shares.cpp
@@ -121,7 +121,7 @@
 
 void refreshLimits(dispatcher_state &State, instant Now) {
   for (const auto &[Name, Settings] : State.Settings.Teams) {
-    const team_limits Limits = limitsOf(Settings);
+    const team_limits &Limits = Settings.Limits;
     const limit_divider Divider(State, Name, Now);
     limit_share Share;
     Share.RunningTasks =
@@ -143,7 +143,7 @@
   Load.WantedSlots = State.RunningTasks + State.Queues.size().Tasks;
   for (const auto &[Name, Settings] : State.Settings.Teams) {
     const auto Team = State.Teams.find(Name);
-    const bool IsLimited = limitsOf(Settings) != team_limits{};
+    const bool IsLimited = Settings.Limits != team_limits{};
     if (Team == State.Teams.end() || !IsLimited) {
       continue;
     }
--- a/src/core/job.cpp
+++ b/src/core/job.cpp
@@ -152,7 +152,6 @@
     return refuse(reason::Malformed, Document.faults());
   }
   job_request Job;
-  Job.TimeLimit = config::DefaultTimeLimit;
   object_reader Reader(Document, Document.root(), "");
   readKey(Document, Reader, HeaderKey, Job.Key);
   Reader.optional("home", Job.Home);
@@ -162,9 +161,9 @@
   milliseconds SubmittedAt{};
   Reader.required("submitted_at_ms", SubmittedAt);
   Job.SubmittedAt = wall_time(SubmittedAt);
-  Reader.optional("time_limit_ms", Job.TimeLimit);
-  if (Job.TimeLimit > config::MaxTimeLimit ||
-      Job.TimeLimit <= milliseconds::zero()) {
+  const bool HasLimit = Reader.optional("time_limit_ms", Job.TimeLimit);
+  if (HasLimit && (Job.TimeLimit > config::MaxTimeLimit ||
+                   Job.TimeLimit <= milliseconds::zero())) {
     Document.addFault("time_limit_ms", nullptr,
                       "from 1 to " +
                           std::to_string(config::MaxTimeLimit.count()));
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -5,6 +5,7 @@
 #include "core/attempts_p.h"
 #include "core/dispatch_p.h"
 #include "core/json_text.h"
+#include "core/teams_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -14,7 +15,8 @@
 namespace {
 constexpr int StatusCreated = 201;
 
-job_record makeRecord(const job_request &Request, instant Now) {
+job_record makeRecord(const dispatcher_state &State, const job_request &Request,
+                      instant Now) {
   job_record Job;
   Job.Key = Request.Key;
   Job.Team = Request.Team;
@@ -22,7 +24,7 @@
   Job.Digest = Request.Digest;
   Job.Repeatable = Request.Repeatable;
   Job.Deadline =
-      Now.Boot + (Request.SubmittedAt + Request.TimeLimit - Now.Wall);
+      Now.Boot + (Request.SubmittedAt + timeLimitOf(State, Request) - Now.Wall);
   // A submission time may lie ahead by the skew, and clocks may step by it.
   Job.ForgetAt = Now.Boot + config::AnswerRetention + 2 * config::MaxClockSkew;
   Job.Tasks.reserve(Request.Tasks.size());
@@ -118,7 +120,7 @@
   ++State.Figures.JobsSubmitted;
   ++State.RunningJobs;
   job_record &Job =
-      State.Jobs.emplace(Event.Job.Key, makeRecord(Event.Job, Now))
+      State.Jobs.emplace(Event.Job.Key, makeRecord(State, Event.Job, Now))
           .first->second;
   setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
   setTimer(State, Job.ForgetAt, timer_kind::Forget, Job.Key);
--- a/src/core/lateness.cpp
+++ b/src/core/lateness.cpp
@@ -30,7 +30,7 @@
   if (Settings == State.Settings.Teams.end()) {
     return Slots;
   }
-  return std::min(Slots, wholeShare(limitsOf(Settings->second)).RunningTasks);
+  return std::min(Slots, wholeShare(Settings->second.Limits).RunningTasks);
 }
 
 /// @param[in] Request gives the request of an element of Job.Tasks
@@ -74,7 +74,8 @@
 
 bool isSurelyLate(const dispatcher_state &State, const job_request &Job,
                   instant Now) {
-  const microseconds Left = Job.SubmittedAt + Job.TimeLimit - Now.Wall;
+  const microseconds Left =
+      Job.SubmittedAt + timeLimitOf(State, Job) - Now.Wall;
   const job_times Times = timesOf(State, Job);
   if (Left <= Times.SureLongest) {
     return true;
--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -48,6 +48,8 @@
      "The store's answer was lost; the write may have taken effect."},
     {reason::StoreBudgetSpent, Refusal, "store_budget_spent", 503,
      "This host's budget of calls to the store is spent."},
+    {reason::RevisionChanged, Refusal, "revision_changed", 412,
+     "Someone else changed the settings since they were read."},
     {reason::TaskFailed, Failure, "task_failed", 200,
      "A task failed at its target."},
     {reason::OutcomeUnknown, Failure, "outcome_unknown", 200,
@@ -91,6 +93,12 @@
      "The team's retry budget was used up."},
     {reason::LateReply, Ignored, "late_reply", 200,
      "A reply to an attempt already settled."},
+    {reason::SettingsMalformed, Ignored, "settings_malformed", 200,
+     "A subtree in the store has faults; the last good one stays in force."},
+    {reason::SettingsBehind, Ignored, "settings_behind", 200,
+     "The store holds an older subtree than this host, as after a restore."},
+    {reason::SettingsConflict, Ignored, "settings_conflict", 200,
+     "A subtree differs at the same revision; the one held stays in force."},
 }};
 } // namespace
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -4,6 +4,7 @@
 #include "core/entry_shares_p.h"
 #include "core/jobs_p.h"
 #include "core/leases_p.h"
+#include "core/settings_p.h"
 #include "core/state_p.h"
 #include "core/status_p.h"
 #include "core/teams_p.h"
@@ -51,12 +52,9 @@
 
 void onSettingsLoaded(dispatcher_state &State, const settings_loaded &Event,
                       instant Now, effects &Effects) {
-  if (Event.Settings.Revision <= State.Settings.Revision) {
-    return;
+  if (Event.Settings.Revision > State.Settings.Revision) {
+    useSettings(State, Event.Settings, Now, Effects);
   }
-  State.Settings = Event.Settings;
-  configureTeams(State, Now);
-  dispatchQueued(State, Now, Effects);
 }
 
 void fireTimer(dispatcher_state &State, const timer &Timer, instant Now,
@@ -133,6 +131,18 @@
   void operator()(const settings_loaded &Event) const {
     onSettingsLoaded(State, Event, Now, Effects);
   }
+  void operator()(const settings_offered &Event) const {
+    onSettingsOffered(State, Event, Now, Effects);
+  }
+  void operator()(const settings_unreadable &Event) const {
+    onSettingsUnreadable(State, Event, Effects);
+  }
+  void operator()(const store_contact &Event) const {
+    onStoreContact(State, Event, Now, Effects);
+  }
+  void operator()(const reason_counted &Event) const {
+    State.Figures.Reasons.add(Event.Reason);
+  }
   void operator()(const shutdown_requested & /*Event*/) const {
     State.ShuttingDown = true;
   }
@@ -162,6 +172,13 @@
   return State;
 }
 
+void useSettings(dispatcher_state &State, settings_tree Tree, instant Now,
+                 effects &Effects) {
+  State.Settings = std::move(Tree);
+  configureTeams(State, Now);
+  dispatchQueued(State, Now, Effects);
+}
+
 void setTimer(dispatcher_state &State, boot_time When, timer_kind Kind,
               std::string Key, std::uint32_t Task) {
   State.Timers.emplace(When, timer{Kind, std::move(Key), Task});
--- a/src/core/retries.cpp
+++ b/src/core/retries.cpp
@@ -1,6 +1,7 @@
 #include "core/retries_p.h"
 
 #include "core/dispatch_p.h"
+#include "core/teams_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -36,13 +37,16 @@
                  const task_record &Task, target_record &Target) {
   Target.Budget.earn();
   if (Task.Attempts == 1) {
-    teamBudget(State, Job.Team).earn();
+    constexpr double Percent = 100;
+    teamBudget(State, Job.Team)
+        .earn(settingsOf(State, Job.Team).RetryPercent / Percent);
   }
 }
 
 bool takeRetry(dispatcher_state &State, const job_record &Job,
                const task_record &Task) {
-  if (Task.Attempts - Task.Refusals >= config::MaxAttemptsPerTask) {
+  if (Task.Attempts - Task.Refusals >=
+      settingsOf(State, Job.Team).MaxAttempts) {
     State.Figures.Reasons.add(reason::AttemptsUsedUp);
     return false;
   }
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -143,9 +143,21 @@
   std::vector<resources> Largest; ///< capacities that no other one contains
 };
 
+/// What this host holds of the settings, and how the store compares with it.
+struct settings_state {
+  settings_snapshot
+      Held; ///< subtrees without faults, at their highest revisions
+  /// Subtrees of the store that have faults, with the revision refused.
+  std::map<std::string, std::int64_t> Rejected;
+  std::set<std::string> Behind; ///< subtrees of which the store has less
+  std::optional<store_contact> Contact;
+  wall_time ContactSince;
+};
+
 struct dispatcher_state {
   dispatcher_init Init;
-  settings_tree Settings;
+  settings_tree Settings; ///< in force
+  settings_state SettingsPart;
   std::uint64_t NextSession = 1;
   std::unordered_map<std::string, job_record> Jobs;
   std::map<std::string, target_record, std::less<>> Targets;
--- a/src/core/status.cpp
+++ b/src/core/status.cpp
@@ -1,6 +1,7 @@
 #include "core/status_p.h"
 
 #include "core/json_text.h"
+#include "core/settings_p.h"
 
 namespace tarragonbridge {
 
@@ -56,6 +57,7 @@
   for (const auto &[Name, Settings] : State.Settings.Teams) {
     Teams.append(Name);
   }
+  Body["settings"] = describeSettings(State);
   Body["reasons"] = describeReasons(State.Figures.Reasons);
   Effects.emplace_back(
       answer_request{Event.Request, StatusOk, writeJson(Body), {}});
--- a/src/core/teams.cpp
+++ b/src/core/teams.cpp
@@ -6,15 +6,23 @@
 
 namespace tarragonbridge {
 
-team_limits limitsOf(const team_settings &Settings) {
-  team_limits Limits;
-  Limits.MaxRunningTasks = Settings.MaxRunningTasks;
-  return Limits;
+const team_settings &settingsOf(const dispatcher_state &State,
+                                std::string_view Team) {
+  static const team_settings Defaults;
+  const auto Found = State.Settings.Teams.find(Team);
+  return Found == State.Settings.Teams.end() ? Defaults : Found->second;
+}
+
+milliseconds timeLimitOf(const dispatcher_state &State,
+                         const job_request &Job) {
+  return Job.TimeLimit > milliseconds::zero()
+             ? Job.TimeLimit
+             : settingsOf(State, Job.Team).DefaultTimeLimit;
 }
 
 void configureTeams(dispatcher_state &State, instant Now) {
   for (const auto &[Name, Settings] : State.Settings.Teams) {
-    const team_limits Limits = limitsOf(Settings);
+    const team_limits &Limits = Settings.Limits;
     State.Queues.configure(Name, Settings.Urgency,
                            {Limits.MaxQueuedTasks, Limits.MaxQueuedBytes});
   }
--- a/src/core/teams_p.h
+++ b/src/core/teams_p.h
@@ -5,8 +5,12 @@
 
 namespace tarragonbridge {
 
-/// @returns the limits in a team's settings
-team_limits limitsOf(const team_settings &Settings);
+/// @returns the settings of a team, the defaults for one that has none
+const team_settings &settingsOf(const dispatcher_state &State,
+                                std::string_view Team);
+
+/// @returns the time limit of a job, its team's default when it names none
+milliseconds timeLimitOf(const dispatcher_state &State, const job_request &Job);
 
 /// Takes over urgencies, bounds and limits of teams from the settings.
 void configureTeams(dispatcher_state &State, instant Now);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -60,7 +60,7 @@
   };
   BOOST_LEAF_CHECK(Self->Server.start(OnRequest));
   Self->Platform = std::make_unique<platform_watch>(
-      store_client(Self->StoreClient, Config.Store), Config.FailureDomain,
+      store_client(Self->StoreClient, Config.Store),
       [Raw = Self.get()](event &&Event) { Raw->Loop.post(std::move(Event)); });
   logEvent("started",
            {{"host", Config.Host},
@@ -126,7 +126,7 @@
     Times.add(*Observation);
   } else if (const auto *Line = std::get_if<log_line>(&Effect)) {
     logEvent(Line->Event, Line->Fields);
-  } else {
+  } else if (std::holds_alternative<shutdown_finished>(Effect)) {
     const std::lock_guard Lock(Mutex);
     Finished = true;
     Ready.notify_one();
--- a/src/daemon/platform_watch.cpp
+++ b/src/daemon/platform_watch.cpp
@@ -1,101 +1,108 @@
 #include "daemon/platform_watch.h"
 
 #include "base/log.h"
-#include "core/json_reader.h"
 
 namespace tarragonbridge {
 
 namespace {
 constexpr std::string_view HostsPrefix = "platform/hosts/";
-constexpr std::string_view SettingsPrefix = "tarragonbridge/settings/";
-
-void logFault(std::string_view Event, const error &Error) {
-  logEvent(
-      Event,
-      {{"step", Error.Step}, {"peer", Error.Peer}, {"message", Error.Message}});
-}
-
-/// @returns the "settings" part of a stored value, which also tells of its edit
-std::string settingsPart(const std::string &Value) {
-  const json_document Document(Value, json_comments::Allowed);
-  const bool HasPart =
-      Document.isValid() && Document.root().isMember("settings");
-  return HasPart ? std::string(Document.textOf(Document.root()["settings"]))
-                 : Value;
-}
 } // namespace
 
-platform_watch::platform_watch(store_client Store, std::string FailureDomain,
-                               event_sink Sink)
-    : Store(std::move(Store)), FailureDomain(std::move(FailureDomain)),
-      Sink(std::move(Sink)) {
-  Thread = posix_thread("platform", [this] { run(); });
-}
+platform_watch::platform_watch(const store_client &Store, event_sink Sink)
+    : Sink(std::move(Sink)),
+      HostFollower("host-list", Store, std::string(HostsPrefix), hostEvents()),
+      SettingsFollower("settings", Store, std::string(SettingsPrefix),
+                       settingsEvents()) {}
 
 platform_watch::~platform_watch() {
-  {
-    const std::lock_guard Lock(Mutex);
-    Stopping = true;
-  }
-  Ready.notify_one();
-  Thread.join();
+  HostFollower.stop();
+  SettingsFollower.stop();
 }
 
-void platform_watch::run() {
-  std::unique_lock Lock(Mutex);
-  while (!Stopping) {
-    Lock.unlock();
-    readSettings();
-    readHosts();
-    Lock.lock();
-    Ready.wait_for(Lock, config::StorePollInterval,
-                   [this] { return Stopping; });
-  }
+follower_events platform_watch::hostEvents() {
+  return {[this](const store_range &Range) {
+            Hosts.clear();
+            for (const store_entry &Entry : Range.Entries) {
+              readHost(Entry);
+            }
+            tellHosts();
+          },
+          [this](const std::vector<store_change> &Changes) {
+            for (const store_change &Change : Changes) {
+              Hosts.erase(Change.Entry.Key);
+              if (!Change.IsDelete) {
+                readHost(Change.Entry);
+              }
+            }
+            tellHosts();
+          },
+          [](bool /*Reached*/, const std::string & /*Message*/) {}};
 }
 
-void platform_watch::readHosts() {
+void platform_watch::readHost(const store_entry &Entry) {
+  const std::string Name = Entry.Key.substr(HostsPrefix.size());
   tryOr(
       [&]() -> result<void> {
-        BOOST_LEAF_AUTO(Range, Store.range(HostsPrefix));
-        hosts_listed Event;
-        for (const store_entry &Entry : Range.Entries) {
-          const std::string Name = Entry.Key.substr(HostsPrefix.size());
-          tryOr(
-              [&]() -> result<void> {
-                BOOST_LEAF_AUTO(Host, parseHostEntry(Name, Entry.Value));
-                Event.Hosts.push_back(std::move(Host));
-                return {};
-              },
-              [](const error &Error) {
-                logFault("host_entry_ignored", Error);
-              });
-        }
-        Sink(std::move(Event));
+        BOOST_LEAF_AUTO(Host, parseHostEntry(Name, Entry.Value));
+        Hosts.emplace(Entry.Key, std::move(Host));
         return {};
       },
-      [](const error &Error) { logFault("host_list_failed", Error); });
+      [](const error &Error) {
+        logEvent("host_entry_ignored", {{"step", Error.Step},
+                                        {"peer", Error.Peer},
+                                        {"message", Error.Message}});
+      });
+}
+
+void platform_watch::tellHosts() {
+  hosts_listed Event;
+  for (const auto &[Key, Host] : Hosts) {
+    Event.Hosts.push_back(Host);
+  }
+  Sink(std::move(Event));
+}
+
+follower_events platform_watch::settingsEvents() {
+  return {[this](const store_range &Range) {
+            settings_offered Offer;
+            Offer.Peer = "store";
+            Offer.IsWhole = true;
+            for (const store_entry &Entry : Range.Entries) {
+              readSettings(Entry, Offer);
+            }
+            Sink(std::move(Offer));
+          },
+          [this](const std::vector<store_change> &Changes) {
+            settings_offered Offer;
+            Offer.Peer = "store";
+            for (const store_change &Change : Changes) {
+              if (Change.IsDelete) {
+                Offer.Missing.push_back(
+                    Change.Entry.Key.substr(SettingsPrefix.size()));
+              } else {
+                readSettings(Change.Entry, Offer);
+              }
+            }
+            Sink(std::move(Offer));
+          },
+          [this](bool Reached, const std::string &Message) {
+            Sink(store_contact{Reached, Message});
+          }};
 }
 
-void platform_watch::readSettings() {
+void platform_watch::readSettings(const store_entry &Entry,
+                                  settings_offered &Offer) {
+  const std::string Path = Entry.Key.substr(SettingsPrefix.size());
   tryOr(
       [&]() -> result<void> {
-        BOOST_LEAF_AUTO(Range, Store.range(SettingsPrefix));
-        std::vector<settings_document> Documents;
-        std::int64_t Revision = 0;
-        for (const store_entry &Entry : Range.Entries) {
-          Documents.push_back({Entry.Key.substr(SettingsPrefix.size()),
-                               settingsPart(Entry.Value)});
-          Revision = std::max(Revision, Entry.ModRevision);
-        }
-        if (Documents.empty()) {
-          return {};
-        }
-        BOOST_LEAF_AUTO(Tree,
-                        parseSettings(Revision, Documents, FailureDomain));
-        Sink(settings_loaded{std::move(Tree)});
+        BOOST_LEAF_AUTO(Document, parseStoredDocument(Path, Entry.ModRevision,
+                                                      Entry.Value));
+        Offer.Snapshot.Documents[Path] = std::move(Document);
         return {};
       },
-      [](const error &Error) { logFault("settings_failed", Error); });
+      [&](const error &Error) {
+        Sink(settings_unreadable{Path, Entry.ModRevision, Error.Message});
+      });
 }
 
 } // namespace tarragonbridge
--- a/src/daemon/platform_watch.h
+++ b/src/daemon/platform_watch.h
@@ -1,37 +1,39 @@
 /// Follows the store: the host list and the settings.
 #pragma once
 
-#include "base/thread.h"
 #include "daemon/event_loop.h"
-#include "platform/store_client.h"
+#include "platform/store_follower.h"
 
-#include <condition_variable>
-#include <mutex>
+#include <functional>
+#include <map>
+#include <string>
 
 namespace tarragonbridge {
 
+/// Keys of the store below which settings are kept.
+constexpr std::string_view SettingsPrefix = "tarragonbridge/settings/";
+
 class platform_watch {
 public:
   using event_sink = std::function<void(event &&)>;
 
-  platform_watch(store_client Store, std::string FailureDomain,
-                 event_sink Sink);
+  platform_watch(const store_client &Store, event_sink Sink);
   ~platform_watch();
   platform_watch(const platform_watch &) = delete;
   platform_watch &operator=(const platform_watch &) = delete;
 
 private:
-  void run();
-  void readHosts();
-  void readSettings();
+  follower_events hostEvents();
+  follower_events settingsEvents();
+  void readHost(const store_entry &Entry);
+  void tellHosts();
+  /// Adds the document of a key to an offer.
+  void readSettings(const store_entry &Entry, settings_offered &Offer);
 
-  store_client Store;
-  std::string FailureDomain;
   event_sink Sink;
-  std::mutex Mutex;
-  std::condition_variable Ready;
-  bool Stopping = false; ///< guarded by Mutex
-  posix_thread Thread;
+  std::map<std::string, host_entry> Hosts; ///< by key; of the Hosts follower
+  store_follower HostFollower;
+  store_follower SettingsFollower;
 };
 
 } // namespace tarragonbridge
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -125,34 +125,34 @@
                                       "the answer is not well formed"});
 }
 
-result<void> store_client::watch(std::string_view Prefix, std::int64_t Start,
-                                 watch_handler Handler,
-                                 std::function<bool()> KeepGoing) const {
+result<watch_end> store_client::watch(std::string_view Prefix,
+                                      std::int64_t Start, watch_handler Handler,
+                                      std::function<bool()> KeepGoing) const {
   constexpr std::string_view Step = "watch store";
   BOOST_LEAF_AUTO(Address, beginCall(Step));
   watch_stream Stream(std::move(Handler), bootNow());
+  watch_end End = watch_end::Cut;
   http_call Call;
   Call.Url = "http://" + Address + "/v3/watch";
   Call.Body = formatWatch(Prefix, Start);
   Call.Timeout = MaxWatchTime;
   Call.OnPart = [&](std::string_view Part) { Stream.add(Part, bootNow()); };
   Call.KeepGoing = [&] {
-    return KeepGoing() && Stream.isOpen() && !Stream.isSilent(bootNow());
+    if (!KeepGoing() || !Stream.isOpen()) {
+      End = watch_end::Done;
+    } else if (Stream.isSilent(bootNow())) {
+      End = watch_end::Silent;
+    }
+    return End == watch_end::Cut;
   };
   const http_result Answer = sendAndWait(Client, std::move(Call));
+  if (End != watch_end::Done && !Stream.wasCreated()) {
+    return fail(Step, Address, reason::StoreUnreachable, Answer);
+  }
   const std::lock_guard Lock(Shared->Mutex);
   ++Shared->Counters.WatchesOpened;
-  if (Stream.isOpen() && Stream.isSilent(bootNow())) {
-    ++Shared->Counters.WatchesSilent;
-  }
-  if (Stream.wasCreated()) {
-    return {};
-  }
-  ++Shared->Counters.Failures;
-  Shared->Current = (Shared->Current + 1) % Shared->Addresses.size();
-  return boost::leaf::new_error(error{std::string(Step), Address,
-                                      reason::StoreUnreachable,
-                                      "the watch was not opened"});
+  Shared->Counters.WatchesSilent += End == watch_end::Silent ? 1 : 0;
+  return End;
 }
 
 } // namespace tarragonbridge
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -23,6 +23,13 @@
   std::uint64_t WatchesSilent = 0; ///< ended for want of any message
 };
 
+/// Why a watch ended.
+enum class watch_end : std::uint8_t {
+  Done,   ///< the handler or KeepGoing ended it
+  Silent, ///< nothing was heard for config::WatchSilence
+  Cut,    ///< the store ended it
+};
+
 /// Takes the messages of a watch. @returns false to end it
 using watch_handler = std::function<bool(const watch_message &)>;
 
@@ -58,9 +65,9 @@
   /// @param[in] Handler called on the client's thread; must not block
   /// @param[in] KeepGoing asked about once a second
   /// @returns an error when the store could not be reached
-  result<void> watch(std::string_view Prefix, std::int64_t Start,
-                     watch_handler Handler,
-                     std::function<bool()> KeepGoing) const;
+  result<watch_end> watch(std::string_view Prefix, std::int64_t Start,
+                          watch_handler Handler,
+                          std::function<bool()> KeepGoing) const;
 
   store_counters counters() const;
 
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,6 +1,8 @@
+#include "base/clock.h"
 #include "base/thread.h"
 #include "net/address.h"
 #include "net/http_client.h"
+#include "net/http_server.h"
 
 #include <array>
 #include <atomic>
@@ -104,3 +106,26 @@
   CHECK(Result.Status == 0);
   CHECK_FALSE(Result.WasSent);
 }
+
+TEST_CASE("a call without an answer, or with half of one, ends when its caller "
+          "says so") {
+  http_server Server({"127.0.0.1:19404"});
+  const bool IsBegun = GENERATE(false, true);
+  const auto OnRequest = [&](request_handle Handle, http_request &&) {
+    if (IsBegun) {
+      Server.beginStream(Handle, {200, "first part", {}});
+    }
+  };
+  tryOr([&] { return Server.start(OnRequest); },
+        [](const error &Error) { FAIL(Error.Message); });
+  http_client Client;
+  const boot_time Started = bootNow();
+  http_call Call;
+  Call.Url = "http://127.0.0.1:19404/";
+  Call.Timeout = std::chrono::seconds(20);
+  Call.KeepGoing = [&] { return bootNow() - Started < milliseconds(300); };
+  const http_result Result = sendAndWait(Client, std::move(Call));
+  CHECK(Result.Status == 0);
+  CAPTURE(IsBegun);
+  CHECK(Result.Error.find("callback") != std::string::npos);
+}
