--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -39,6 +39,7 @@
   StoreUnreachable,
   StoreOutcomeUnknown,
   StoreBudgetSpent,
+  RevisionChanged,
   // Failures of jobs.
   TaskFailed,
   OutcomeUnknown,
@@ -69,6 +70,10 @@
   PeerUnknownMethod,
   PeerMisdirected,
   LateReply,
+  // Settings that were not applied.
+  SettingsMalformed,
+  SettingsBehind,
+  SettingsConflict,
   Count
 };
 
--- a/src/core/entry_shares.cpp
+++ b/src/core/entry_shares.cpp
@@ -101,7 +101,7 @@
 
 void refreshLimits(dispatcher_state &State, instant Now) {
   for (const auto &[Name, Settings] : State.Settings.Teams) {
-    const team_limits Limits = limitsOf(Settings);
+    const team_limits &Limits = Settings.Limits;
     const limit_divider Divider(State, Name, Now);
     limit_share Share;
     Share.RunningTasks = Divider.divide(Limits.MaxRunningTasks, "tasks");
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -8,6 +8,7 @@
 #include "core/home_questions_p.h"
 #include "core/json_text.h"
 #include "core/remote_answers_p.h"
+#include "core/teams_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -17,7 +18,8 @@
 namespace {
 constexpr int StatusCreated = 201;
 
-job_record makeRecord(const job_request &Request, instant Now) {
+job_record makeRecord(const dispatcher_state &State, const job_request &Request,
+                      instant Now) {
   job_record Job;
   Job.Key = Request.Key;
   Job.Team = Request.Team;
@@ -25,7 +27,7 @@
   Job.Digest = Request.Digest;
   Job.Repeatable = Request.Repeatable;
   Job.Deadline =
-      Now.Boot + (Request.SubmittedAt + Request.TimeLimit - Now.Wall);
+      Now.Boot + (Request.SubmittedAt + timeLimitOf(State, Request) - Now.Wall);
   // A submission time may lie ahead by the skew, and clocks may step by it.
   Job.ForgetAt = Now.Boot + config::AnswerRetention + 2 * config::MaxClockSkew;
   Job.Tasks.reserve(Request.Tasks.size());
@@ -157,7 +159,8 @@
   ++State.Figures.JobsSubmitted;
   ++State.RunningJobs;
   job_record &Job =
-      State.Jobs.emplace(Request.Key, makeRecord(Request, Now)).first->second;
+      State.Jobs.emplace(Request.Key, makeRecord(State, Request, Now))
+          .first->second;
   setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
   setTimer(State, Job.ForgetAt, timer_kind::Forget, Job.Key);
   return Job;
