--- a/tests/unit/attempts_test.cpp
+++ b/tests/unit/attempts_test.cpp
@@ -172,6 +172,6 @@
   CHECK(Fixture.Started.size() == 1);
   Fixture.advance(config::LeavingHold);
   Fixture.listTargets(1, 4, {64, 65'536, 0});
-  CHECK(Fixture.submit(2, false).size() > 0);
+  CHECK_FALSE(Fixture.submit(2, false).empty());
   CHECK(Fixture.Started.size() >= 2);
 }
--- a/tools/fuzz/parse_fuzz.cpp
+++ b/tools/fuzz/parse_fuzz.cpp
@@ -51,12 +51,10 @@
   attempt([&] { return parseDaemonConfig(Text, "file"); });
 }
 void fuzzRootSettings(std::string_view Text) {
-  const std::vector<settings_document> Documents{{"", std::string(Text)}};
-  attempt([&] { return parseSettings(2, Documents, "curepipe"); });
+  attempt([&] { return parseSubtree("", Text); });
 }
 void fuzzTeamSettings(std::string_view Text) {
-  const std::vector<settings_document> Documents{{"agents", std::string(Text)}};
-  attempt([&] { return parseSettings(2, Documents, "curepipe"); });
+  attempt([&] { return parseSubtree("agents", Text); });
 }
 void fuzzCallLine(std::string_view Text) {
   attempt([&] { return parseCallLine(Text); });
