--- a/tools/bench/reducer_slopes.cpp
+++ b/tools/bench/reducer_slopes.cpp
@@ -2,6 +2,7 @@
 /// task from submission to reply, and bytes kept for each target, job and task.
 #include "tarragonbridge/dispatcher.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -69,8 +70,12 @@
         replyToOldest();
       }
     }
-    while (!Running.empty()) {
-      replyToOldest();
+    while (Starts < JobCount * TasksPerJob || !Running.empty()) {
+      if (Running.empty()) {
+        waitForTimer();
+      } else {
+        replyToOldest();
+      }
     }
   }
 
@@ -87,6 +92,12 @@
     }
   }
 
+  /// Lets time pass until a task that was held back may start.
+  void waitForTimer() {
+    Now.Boot = std::max(Now.Boot, *nextTimer(*Dispatcher));
+    apply(timer_fired{});
+  }
+
   void replyToOldest() {
     const start_task Start = std::move(Running.front());
     Running.pop_front();
