Set aside targets that fail everything they start

Ruled out: counting failures of one job more than once, since a bad job would make many bad targets; setting aside without a bound, since a bad hour would empty a domain. Change: after three jobs in a row failed there, a target gets no work for 2 s, doubling to 60 s, then one task at a time until one is done; at most half of a failure domain. Shown in the tool's targets table. Left: the probe may be any task, not only a repeatable one.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -37,6 +37,12 @@
 constexpr int DeclaredTimeMargin = 10; ///< declared times are off by this
 constexpr int FastTargetMargin = 2;    ///< fastest speed over the average
 
+// Health of targets.
+constexpr std::uint32_t FailuresUntilAside = 3; ///< jobs in a row
+constexpr milliseconds MinAsideTime{2'000};
+constexpr milliseconds MaxAsideTime{60'000};
+constexpr double MaxAsidePart = 0.5; ///< of a failure domain's targets
+
 // Shares of entry hosts.
 /// Period after which units that are too few for all hosts change holders.
 constexpr milliseconds ShareTurn{1'000};
--- a/include/tarragonbridge/reason.h
+++ b/include/tarragonbridge/reason.h
@@ -57,6 +57,7 @@
   TargetUnreachable,
   TargetError,
   TargetLost,
+  TargetSetAside,
   TargetSilent,
   AttemptStopped,
   AttemptEnded,
--- a/src/cli/status_commands.cpp
+++ b/src/cli/status_commands.cpp
@@ -113,8 +113,8 @@
 }
 
 exit_code printTargets(const Json::Value &Status) {
-  printList(Status["target_list"], {"name", "failure_domain", "state", "listed",
-                                    "running_here", "slots"});
+  printList(Status["target_list"], {"name", "failure_domain", "state", "health",
+                                    "listed", "running_here", "slots"});
   return exit_code::Success;
 }
 
--- a/src/core/attempts.cpp
+++ b/src/core/attempts.cpp
@@ -1,6 +1,7 @@
 #include "core/attempts_p.h"
 
 #include "core/dispatch_p.h"
+#include "core/health_p.h"
 #include "core/jobs_p.h"
 #include "core/placement_p.h"
 #include "core/retries_p.h"
@@ -165,11 +166,15 @@
     State.Figures.Reasons.add(Row.Reason);
   }
   const attempt_context Context{State, Target, Id, Reply, Now, Effects};
+  const bool WasUndisturbed = Found->second.State == attempt_state::Sent;
   Found->second.State = Cell.Next;
   if (Input == attempt_input::Done && Job != nullptr) {
     learnFromFinished(State, *Job, Job->Tasks[Id.Task], Target,
                       Now.Boot - Found->second.StartedAt);
   }
+  if (WasUndisturbed && Job != nullptr) {
+    noteAttemptEnd(State, Target, Id.Key, Input, Now);
+  }
   if (Cell.Action == attempt_action::Stop) {
     sendStop(Target, Id, Found->second, Effects);
   }
--- a/src/core/placement_index.cpp
+++ b/src/core/placement_index.cpp
@@ -55,6 +55,9 @@
 std::size_t attemptLimit(const target_record &Target, boot_time Now) {
   // An attempt holds its connection until the reply. One past the connections
   // would wait unsent, and its lease could not be renewed.
+  if (Target.Health.state(Now) != health_state::Well) {
+    return 1;
+  }
   constexpr std::size_t Connections =
       config::MaxConnectionsPerTarget - config::ControlConnectionsPerTarget;
   return std::min<std::size_t>(
--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -86,6 +86,9 @@
     {reason::TargetError, Retry, "target_error", 200,
      "The task failed at the target."},
     {reason::TargetLost, Retry, "target_lost", 200, "The reply was lost."},
+    {reason::TargetSetAside, Retry, "target_set_aside", 200,
+     "The target failed everything that it started and gets no work for a "
+     "while."},
     {reason::TargetSilent, Retry, "target_silent", 200,
      "Several lease renewals in a row had no answer."},
     {reason::AttemptStopped, Retry, "attempt_stopped", 200,
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -113,7 +113,7 @@
     onJobCancelled(State, Event, Now, Effects);
   }
   void operator()(const status_requested &Event) const {
-    onStatusRequested(State, Event, Effects);
+    onStatusRequested(State, Event, Now, Effects);
   }
   void operator()(const task_replied &Event) const {
     onTaskReplied(State, Event, Now, Effects);
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -12,6 +12,7 @@
 #include "tarragonbridge/entry_load.h"
 #include "tarragonbridge/retry_budget.h"
 #include "tarragonbridge/run_times.h"
+#include "tarragonbridge/target_health.h"
 #include "tarragonbridge/team_limits.h"
 #include "tarragonbridge/team_queues.h"
 
@@ -114,6 +115,7 @@
   resources Used{0, 0, 0}; ///< by the attempts that are out
   target_speed Speed;
   slot_window Window;
+  target_health Health;
   placement_entry Placement;
   std::uint64_t Order = 0; ///< random, breaks ties between equal targets
   boot_time WakeAt;        ///< when the index looks at it again
--- a/src/core/status.cpp
+++ b/src/core/status.cpp
@@ -1,18 +1,22 @@
 #include "core/status_p.h"
 
 #include "core/json_text.h"
+
 #include "core/settings_p.h"
+#include <array>
 
 namespace tarragonbridge {
 
 namespace {
 constexpr int StatusOk = 200;
 
-Json::Value describeTarget(const target_record &Target) {
+Json::Value describeTarget(const target_record &Target, boot_time Now) {
   Json::Value Row;
   Row["name"] = Target.Host.Name;
   Row["failure_domain"] = Target.Host.FailureDomain;
   Row["state"] = Target.Host.State == host_state::Live ? "live" : "leaving";
+  constexpr std::array<const char *, 3> Health{"well", "set aside", "probed"};
+  Row["health"] = Health.at(static_cast<std::size_t>(Target.Health.state(Now)));
   Row["listed"] = Target.Listed;
   Row["running_here"] = Json::UInt64(Target.Running.size());
   Row["slots"] = Target.Host.Slots;
@@ -42,7 +46,7 @@
 } // namespace
 
 void onStatusRequested(dispatcher_state &State, const status_requested &Event,
-                       effects &Effects) {
+                       instant Now, effects &Effects) {
   Json::Value Body;
   Body["host"] = State.Init.Self.Host;
   Body["failure_domain"] = State.Init.Self.FailureDomain;
@@ -51,7 +55,7 @@
   addTotals(figures(State), Body);
   Json::Value &Targets = Body["target_list"] = Json::Value(Json::arrayValue);
   for (const auto &[Name, Target] : State.Targets) {
-    Targets.append(describeTarget(Target));
+    Targets.append(describeTarget(Target, Now.Boot));
   }
   Json::Value &Teams = Body["teams"] = Json::Value(Json::arrayValue);
   for (const auto &[Name, Settings] : State.Settings.Teams) {
--- a/src/core/status_p.h
+++ b/src/core/status_p.h
@@ -7,6 +7,6 @@
 
 /// Answers GET /v1/status.
 void onStatusRequested(dispatcher_state &State, const status_requested &Event,
-                       effects &Effects);
+                       instant Now, effects &Effects);
 
 } // namespace tarragonbridge
