Send resubmissions after the end whole in the load tool

Cause: the tool dropped a job's body when it was settled, so that 30 of 36 resubmissions were sent empty and refused as malformed; none of them tried the promise.

--- a/tools/load/callers.cpp
+++ b/tools/load/callers.cpp
@@ -206,7 +206,9 @@
       return;
     }
     Job.IsSettled = true;
-    Job.Body.clear();
+    if (!Jobs[Index].ResubmitAfter) {
+      Job.Body.clear();
+    }
     job_outcome &Ended = Outcome.Jobs[Index];
     Ended.Reason = nameOf(Result, Answer);
     Ended.Response = Now - Job.PlannedAt;
