--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -6,6 +6,7 @@
 #include "core/json_reader.h"
 
 #include <array>
+#include <cstdlib>
 #include <iostream>
 
 namespace tarragonbridge::cli {
@@ -31,6 +32,20 @@
 
 std::span<const command> commandTable() { return Table; }
 
+void parseArguments(TCLAP::CmdLine &Line, const arguments &Arguments) {
+  arguments Copy = Arguments;
+  Line.setExceptionHandling(false);
+  try {
+    Line.parse(Copy);
+  } catch (const TCLAP::ArgException &Thrown) {
+    std::cerr << Arguments.front() << ": " << Thrown.error() << ' '
+              << Thrown.argId() << "\nArguments are told by --help.\n";
+    std::exit(static_cast<int>(exit_code::BadArguments));
+  } catch (const TCLAP::ExitException &Ended) { // help or version was shown
+    std::exit(Ended.getExitStatus());
+  }
+}
+
 http_result callHost(const std::string &Address, http_call Call) {
   http_client Client;
   Call.Url = "http://" + Address + Call.Url;
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tclap/CmdLine.h>
 #include <vector>
 
 namespace tarragonbridge::cli {
@@ -34,6 +35,13 @@
 /// @returns all commands
 std::span<const command> commandTable();
 
+/// Parses the arguments of a command.
+///
+/// @param[in,out] Line what the command takes
+/// @remarks Ends the process with exit_code::BadArguments, and what was
+/// expected, when they don't fit.
+void parseArguments(TCLAP::CmdLine &Line, const arguments &Arguments);
+
 /// Sends one call to a host and waits for its answer.
 ///
 /// @param[in] Address IP and port of the host
--- a/src/cli/job_commands.cpp
+++ b/src/cli/job_commands.cpp
@@ -87,8 +87,7 @@
                                         false, "127.0.0.1:8080", "ADDR", Line);
   const TCLAP::UnlabeledValueArg<std::string> Key("key", "key of the job", true,
                                                   "", "KEY", Line);
-  arguments Copy = Arguments;
-  Line.parse(Copy);
+  parseArguments(Line, Arguments);
   return {To.getValue(), Key.getValue()};
 }
 
@@ -112,8 +111,7 @@
   const TCLAP::SwitchArg Async("a", "async", "don't wait for the answer", Line);
   const TCLAP::UnlabeledValueArg<std::string> File(
       "file", "job, - for standard input", true, "", "FILE", Line);
-  arguments Copy = Arguments;
-  Line.parse(Copy);
+  parseArguments(Line, Arguments);
   const std::string Text = readInput(File.getValue());
   const json_document Document(Text, json_comments::Allowed);
   if (!Document.isValid() || !Document.root().isObject()) {
--- a/src/cli/settings_commands.cpp
+++ b/src/cli/settings_commands.cpp
@@ -23,10 +23,7 @@
         Path("path", "path of the subtree, / for the root", true, "", "PATH",
              Line) {}
 
-  void parse(const arguments &Arguments) {
-    arguments Copy = Arguments;
-    Line.parse(Copy);
-  }
+  void parse(const arguments &Arguments) { parseArguments(Line, Arguments); }
   std::string url(const std::string &Prefix) const {
     const std::string &Name = Path.getValue();
     return Prefix + "/" + (Name == "/" ? "" : Name);
--- a/src/cli/status_commands.cpp
+++ b/src/cli/status_commands.cpp
@@ -23,8 +23,7 @@
                                         false, "127.0.0.1:8080", "ADDR", Line);
   const TCLAP::SwitchArg AsJson("j", "json", "print the host's answer as JSON",
                                 Line);
-  arguments Copy = Arguments;
-  Line.parse(Copy);
+  parseArguments(Line, Arguments);
   http_call Call;
   Call.Method = "GET";
   Call.Url = "/v1/status";
@@ -55,8 +54,24 @@
     Troubles.emplace_back(
         "No target is listed: jobs wait until the platform lists one.");
   }
-  for (const Json::Value &Trouble : Status["troubles"]) {
-    Troubles.push_back(Trouble.asString());
+  for (const Json::Value &Path : Status["settings"]["store_behind"]) {
+    Troubles.push_back("The store holds an older state of the settings \"" +
+                       Path.asString() + "\" than is in force here.");
+  }
+  for (const Json::Value &Path : Status["settings"]["malformed"]) {
+    Troubles.push_back(
+        "The settings \"" + Path.asString() +
+        "\" in the store can't be read; the last good ones are in force.");
+  }
+  if (Status["settings"]["store"]["state"].asString() == "unreachable") {
+    Troubles.emplace_back(
+        "The store is out of reach: edits are refused, serving goes on.");
+  }
+  for (const Json::Value &Target : Status["target_list"]) {
+    if (Target["health"].asString() != "well") {
+      Troubles.push_back("Target " + Target["name"].asString() +
+                         " fails what it starts; it is probed by itself.");
+    }
   }
   return Troubles;
 }
@@ -119,8 +134,8 @@
 }
 
 exit_code printPeers(const Json::Value &Status) {
-  printList(Status["peers"],
-            {"name", "failure_domain", "state", "heard_ms_ago"});
+  printList(Status["peers"], {"name", "failure_domain", "state",
+                              "settings_revision", "heard_ms_ago"});
   return exit_code::Success;
 }
 } // namespace
--- a/src/core/status.cpp
+++ b/src/core/status.cpp
@@ -1,6 +1,7 @@
 #include "core/status_p.h"
 
 #include "core/json_text.h"
+#include "tarragonbridge/membership.h"
 
 #include "core/settings_p.h"
 #include <array>
@@ -24,6 +25,22 @@
   return Row;
 }
 
+Json::Value describePeer(const member &Member, boot_time Now) {
+  const bool WasHeard = Member.Incarnation != 0;
+  Json::Value Row;
+  Row["name"] = Member.Host.Name;
+  Row["failure_domain"] = Member.Host.FailureDomain;
+  Row["state"] = Member.Beat.Leaving ? "leaving"
+                 : WasHeard          ? "live"
+                                     : "unheard";
+  Row["settings_revision"] = Json::Int64(Member.Beat.SettingsRevision);
+  if (WasHeard) {
+    const auto Since = std::chrono::floor<milliseconds>(Now - Member.LastHeard);
+    Row["heard_ms_ago"] = Json::Int64(Since.count());
+  }
+  return Row;
+}
+
 Json::Value describeReasons(const reason_counters &Counters) {
   Json::Value Reasons(Json::objectValue);
   for (const reason_info &Info : reasonTable()) {
@@ -57,6 +74,10 @@
   for (const auto &[Name, Target] : State.Targets) {
     Targets.append(describeTarget(Target, Now.Boot));
   }
+  Json::Value &Peers = Body["peers"] = Json::Value(Json::arrayValue);
+  for (const member &Member : members(State)) {
+    Peers.append(describePeer(Member, Now.Boot));
+  }
   Json::Value &Teams = Body["teams"] = Json::Value(Json::arrayValue);
   for (const auto &[Name, Settings] : State.Settings.Teams) {
     Teams.append(Name);
--- a/tests/integration/thin_path.sh
+++ b/tests/integration/thin_path.sh
@@ -85,6 +85,10 @@
 [ "$code" = 2 ] || fail "exit $code for bad configuration"
 for word in host listen colour store failure_domain; do grep -q "$word" "$work/faults" || fail "$word not reported"; done
 
+# Arguments that don't fit: exit 2.
+code=0; "$bin/tarragonbridge" job submit 2>/dev/null || code=$?
+[ "$code" = 2 ] || fail "exit $code for missing arguments"
+
 # SIGTERM with a request in flight: it is answered, the exit code is 0.
 (submit "$(body 3 agents "$now" '{"payload":{"run_ms":700,"echo":1}}')" >"$work/last") &
 last=$!
