--- a/tests/integration/hosts.sh
+++ b/tests/integration/hosts.sh
@@ -2,24 +2,12 @@
 # Three entry hosts, two targets and a store as processes: any host answers for any
 # session, a resubmission elsewhere starts nothing, and the death of a home or of a
 # holder is answered for.
-set -euo pipefail
-bin=$1
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-fail() { echo "FAILED: $*"; tail -n 20 "$work"/*.log; exit 1; }
+. "$(dirname "$0")/lib.sh"
 
 port=$((12000 + ($$ * 7) % 18000))
 store=127.0.0.1:$port
 host() { echo "127.0.0.1:$((port + 20 + $1))"; }
 peer() { echo "127.0.0.1:$((port + 30 + $1))"; }
-start() { "$@" 2>>"$work/$(basename "$1").log" & pids+=($!); }
-await() { for _ in $(seq 300); do curl -s -o /dev/null "$1" && return; sleep 0.05; done; fail "no answer from $1"; }
 put() {
   curl -sf "http://$store/v3/kv/put" -o /dev/null \
     -d "{\"key\":\"$(printf %s "$1" | base64 -w0)\",\"value\":\"$(printf %s "$2" | base64 -w0)\"}"
--- a/tests/integration/settings.sh
+++ b/tests/integration/settings.sh
@@ -2,22 +2,10 @@
 # Two daemons and a store as processes: operators race, a write's answer is lost, a write
 # takes effect late, the store is out of reach, watches go silent, the store is restored to
 # an older state. What was accepted is in force on both hosts and never reverts.
-set -euo pipefail
-bin=$1
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-fail() { echo "FAILED: $*"; tail -n 40 "$work"/*.log; exit 1; }
+. "$(dirname "$0")/lib.sh"
 
 port=$((11000 + $$ % 8000))
 store=127.0.0.1:$port one=127.0.0.1:$((port + 1)) two=127.0.0.1:$((port + 3))
-start() { "$@" 2>>"$work/$(basename "$1").log" & pids+=($!); }
-await() { for _ in $(seq 300); do curl -s -o /dev/null "$1" && return; sleep 0.05; done; fail "no answer from $1"; }
 admin() { curl -sf "http://$store/admin/$1" -o /dev/null -d "${2:-{\}}"; }
 revision() { curl -s "http://$store/v3/kv/range" -d '{"key":"YQ=="}' | sed 's/.*"revision":"\([0-9]*\)".*/\1/'; }
 # put HOST PATH REVISION TEXT: prints the status, leaves the body in $work/body
--- a/tests/integration/thin_path.sh
+++ b/tests/integration/thin_path.sh
@@ -1,22 +1,10 @@
 #!/usr/bin/env bash
 # One daemon, two targets and a store as processes: jobs go through and back, bad
 # input is refused, SIGTERM ends the daemon with nothing cut off.
-set -euo pipefail
-bin=$1
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-fail() { echo "FAILED: $*"; cat "$work"/*.log; exit 1; }
+. "$(dirname "$0")/lib.sh"
 
 port=$((20000 + $$ % 12000)) # below the range of ephemeral ports
 store=127.0.0.1:$port host=127.0.0.1:$((port + 1))
-start() { "$@" 2>>"$work/$(basename "$1").log" & pids+=($!); }
-await() { for _ in $(seq 300); do curl -s -o /dev/null "$1" && return; sleep 0.05; done; fail "no answer from $1"; }
 put() {
   curl -sf "http://$store/v3/kv/put" -o /dev/null \
     -d "{\"key\":\"$(printf %s "$1" | base64 -w0)\",\"value\":\"$(printf %s "$2" | base64 -w0)\"}"
