--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -7,7 +7,9 @@
 
 #include <array>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace tarragonbridge::cli {
 
@@ -46,6 +48,16 @@
   }
 }
 
+std::string readInput(const std::string &File) {
+  std::ostringstream Text;
+  if (File == "-") {
+    Text << std::cin.rdbuf();
+  } else {
+    Text << std::ifstream(File).rdbuf();
+  }
+  return Text.str();
+}
+
 http_result callHost(const std::string &Address, http_call Call) {
   http_client Client;
   Call.Url = "http://" + Address + Call.Url;
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -42,6 +42,9 @@
 /// expected, when they don't fit.
 void parseArguments(TCLAP::CmdLine &Line, const arguments &Arguments);
 
+/// @returns the content of a file, or of standard input for -
+std::string readInput(const std::string &File);
+
 /// Sends one call to a host and waits for its answer.
 ///
 /// @param[in] Address IP and port of the host
--- a/src/cli/job_commands.cpp
+++ b/src/cli/job_commands.cpp
@@ -16,16 +16,6 @@
 constexpr int StatusCreated = 201;
 constexpr int StatusAccepted = 202;
 
-std::string readInput(const std::string &File) {
-  std::ostringstream Text;
-  if (File == "-") {
-    Text << std::cin.rdbuf();
-  } else {
-    Text << std::ifstream(File).rdbuf();
-  }
-  return Text.str();
-}
-
 /// Prints a job's body. @returns the exit code for its state
 exit_code printJob(const std::string &Body) {
   std::cout << Body << '\n';
--- a/src/cli/settings_commands.cpp
+++ b/src/cli/settings_commands.cpp
@@ -35,16 +35,6 @@
   TCLAP::UnlabeledValueArg<std::string> Path;
 };
 
-std::string readInput(const std::string &File) {
-  std::ostringstream Text;
-  if (File == "-") {
-    Text << std::cin.rdbuf();
-  } else {
-    Text << std::ifstream(File).rdbuf();
-  }
-  return Text.str();
-}
-
 std::string textOf(const Json::Value &Body, const char *Name) {
   const Json::Value Value = Body.get(Name, "");
   return Value.isNull() ? "none" : Value.asString();
