--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -155,8 +155,8 @@
   Coordinator.Jobs.erase(Found);
 }
 
-void failJob(step &Step, const std::string &Id, std::string_view Reason,
-             const std::string &Detail = "") {
+void failJob(step &Step, const std::string &Id, answer_kind Kind,
+             std::string_view Reason, const std::string &Detail = "") {
   const open_job &Job = Step.State.Coordinator.Jobs.find(Id)->second;
   const auto Age =
       std::chrono::duration_cast<milliseconds>(Step.Now - Job.PostedAt);
@@ -168,7 +168,7 @@
             {"age_ms", describe(Age)},
             {"objective_ms", describe(until(Job.EndBy, Job.PostedAt))},
             {"version", std::to_string(Step.State.Configuration.Version)}});
-  finishJob(Step, Id, answer_kind::JobFailed);
+  finishJob(Step, Id, Kind);
 }
 
 milliseconds retryAfter(const std::string &Id, milliseconds Wait) {
@@ -191,7 +191,7 @@
 void giveUp(step &Step, const std::string &Id, std::string_view Reason) {
   const open_job &Job = Step.State.Coordinator.Jobs.find(Id)->second;
   if (mayHaveRun(Job)) {
-    failJob(Step, Id, Reason);
+    failJob(Step, Id, answer_kind::JobAbandoned, Reason);
     return;
   }
   Step.count(counter::RefusedOverloaded);
@@ -403,7 +403,7 @@
       Answer.Kind = answer_kind::Running;
       if (Asked.IsCancel) {
         Answer.Kind = answer_kind::Cancelled;
-        failJob(Step, Id, "cancelled");
+        failJob(Step, Id, answer_kind::Cancelled, "cancelled");
       }
     }
   }
@@ -423,7 +423,7 @@
   std::erase(Job.Requests, Left.Request);
   if (Job.Requests.empty()) {
     Step.count(counter::CallersLeft);
-    finishJob(Step, Id, answer_kind::JobFailed);
+    finishJob(Step, Id, answer_kind::JobAbandoned);
   }
 }
 
@@ -468,7 +468,8 @@
   if (Ended.End == attempt_end::Failed &&
       ++Task->Failures >= Job.Route.MaxAttempts) {
     Step.count(counter::GivenUpAttempts);
-    failJob(Step, Ended.Attempt.Job, "attempts_failed", Ended.Target);
+    failJob(Step, Ended.Attempt.Job, answer_kind::JobFailed, "attempts_failed",
+            Ended.Target);
     return;
   }
   Task->Rounds = 0;
@@ -509,14 +510,14 @@
   }
   for (const auto &[Id, Reason] : Ended) {
     Step.count(counter::GivenUpLate);
-    failJob(Step, Id, Reason);
+    failJob(Step, Id, answer_kind::JobAbandoned, Reason);
   }
 }
 
 void endAllJobs(step &Step) {
   while (!Step.State.Coordinator.Jobs.empty()) {
     const std::string Id = Step.State.Coordinator.Jobs.begin()->first;
-    failJob(Step, Id, "shutting_down");
+    failJob(Step, Id, answer_kind::JobAbandoned, "shutting_down");
   }
 }
 
