Number messages between hosts within epochs; draw estimates to the route's usual one

Cause: callers' estimates are off by a factor of 1.5 one by one (standard deviation 0.40 of the logarithm in 10,500 tasks), right on the whole; objectives came out too short and jobs were given up that were still in time. Ruled out: custody (no target was lost), the queue (empty), learning run times from ends (targets' speeds are learnt from the same ends and would drift with them). Change: epochs of both sides in each datagram; estimates drawn to the route's usual one; speeds of kinds for targets not yet known; a list that lags doesn't bring back an earlier process of a host.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -69,6 +69,12 @@
 constexpr double SpeedMemory = 12; ///< finished tasks that weigh most
 constexpr double MinSpeed = 0.02;
 constexpr double MaxSpeed = 8;
+/// What an estimate weighs against the route's usual one.
+constexpr double EstimateTrust = 0.55;
+/// The longest task of a job over an expected one.
+constexpr double LongestTaskFactor = 1.15;
+/// What is expected may be off by this factor before a job is given up.
+constexpr double UselessMargin = 1.6;
 constexpr double OverdueFactor = 1.8; ///< of the expected run time
 
 // Admission and queues.
@@ -82,6 +88,9 @@
 constexpr milliseconds MinRetryAfter{1'000};
 constexpr milliseconds MaxRetryAfter{3'000};
 
+// Logs.
+constexpr milliseconds SummaryInterval{1'000}; ///< between lines on the load
+
 // Shutdown.
 constexpr milliseconds LeaveRotation{3'000}; ///< new requests are still served
 constexpr milliseconds ShutdownMargin{900};  ///< of the time that is allowed
--- a/include/tarragonbridge/pool/events.h
+++ b/include/tarragonbridge/pool/events.h
@@ -126,8 +126,8 @@
 
 enum class answer_kind : std::uint8_t {
   JobDone,
-  JobFailed,      ///< a task has failed as often as it may
-  JobAbandoned,   ///< given up by this host; tasks may have run
+  JobFailed,    ///< a task has failed as often as it may
+  JobAbandoned, ///< given up by this host; tasks may have run
   NoRoute,
   NotConfigured, ///< no configuration yet
   Unsupported,
--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -82,7 +82,8 @@
   std::string Service;
   task_needs Free;
   double Speed = 1;
-  bool IsUsable = true; ///< false: draining, mute or set aside
+  bool IsSpeedKnown = false; ///< learnt there, not only at its kind
+  bool IsUsable = true;      ///< false: draining, mute or set aside
 };
 
 /// What a host tells of itself; the newest replaces all before.
@@ -101,7 +102,9 @@
   std::uint64_t ToIncarnation = 0; ///< 0: not known yet
   std::uint64_t StateNumber = 0;
   std::optional<host_state> State;
-  std::uint64_t AckedUpTo = 0; ///< all messages up to this one have arrived
+  std::uint64_t Epoch = 0;      ///< of the sender's numbers
+  std::uint64_t AckedEpoch = 0; ///< of the receiver's numbers that are acked
+  std::uint64_t AckedUpTo = 0;  ///< all messages up to this one have arrived
   std::vector<std::uint64_t> AckedBeyond;
   struct numbered_message {
     std::uint64_t Number = 0;
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -252,9 +252,11 @@
       Job.Tasks.push_back(std::move(Task));
     }
   }
-  const auto Objective =
-      std::chrono::duration_cast<milliseconds>(Route.Stretch * Longest) +
-      Route.ObjectiveMargin;
+  const double LongestFactor =
+      Job.Tasks.size() > 1 ? config::LongestTaskFactor : 1;
+  const auto Objective = std::chrono::duration_cast<milliseconds>(
+                             Route.Stretch * LongestFactor * Longest) +
+                         Route.ObjectiveMargin;
   const milliseconds Limit =
       Posted.TimeLimit > milliseconds(0)
           ? std::min(Posted.TimeLimit, config::MaxTimeLimit)
@@ -262,6 +264,7 @@
   Job.EndBy = Step.Now + Objective;
   Job.UselessAt =
       Step.Now + std::min(Limit, std::chrono::duration_cast<milliseconds>(
+                                     config::UselessMargin *
                                      config::LateFactor * Objective));
   return Job;
 }
@@ -377,6 +380,9 @@
     Step.Effects.emplace_back(answer_caller{Request, answer_kind::JobDone});
     return;
   }
+  for (const job_step &Described : Posted.Job.Steps) {
+    Coordinator.RunTimes.learn(Route->Name, Described.Estimated);
+  }
   placeJob(Step, makeJob(Step, *Route, std::move(Id), std::move(Posted)));
 }
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -62,9 +62,17 @@
   }
 }
 
+/// @returns the speed learnt at a target, or the mean of its kind
 double speedOf(const pool_state &State, std::string_view Target) {
   const auto Found = State.Targets.find(Target);
-  return Found == State.Targets.end() ? 1 : Found->second.Speed.speed();
+  if (Found == State.Targets.end()) {
+    return 1;
+  }
+  if (Found->second.Speed.isKnown()) {
+    return Found->second.Speed.speed();
+  }
+  const auto Kind = State.KindSpeeds.find(Found->second.Record.Kind);
+  return Kind == State.KindSpeeds.end() ? 1 : Kind->second;
 }
 
 /// @returns the own room, as the only owner in a view
@@ -312,6 +320,35 @@
   }
 }
 
+void learnKinds(step &Step) {
+  pool_state &State = Step.State;
+  std::map<std::string, std::pair<double, std::size_t>, std::less<>> Sums;
+  const auto Add = [&](std::string_view Target, double Speed) {
+    const auto Listed = State.Targets.find(Target);
+    if (Listed != State.Targets.end()) {
+      auto &[Sum, Count] = Sums[Listed->second.Record.Kind];
+      Sum += Speed;
+      ++Count;
+    }
+  };
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    const auto Listed = State.Targets.find(Id);
+    if (Listed != State.Targets.end() && Listed->second.Speed.isKnown()) {
+      Add(Id, Listed->second.Speed.speed());
+    }
+  }
+  for (const auto &[Name, Peer] : State.Peers) {
+    for (const target_room &Room : Peer.State.Targets) {
+      if (Room.IsSpeedKnown) {
+        Add(Room.Target, Room.Speed);
+      }
+    }
+  }
+  for (const auto &[Kind, Sum] : Sums) {
+    State.KindSpeeds[Kind] = Sum.first / static_cast<double>(Sum.second);
+  }
+}
+
 void stopOrphans(step &Step) {
   pool_state &State = Step.State;
   const auto IsOrphan = [&](const host_ref &Coordinator) {
@@ -344,9 +381,11 @@
     if (Custody.phase() == custody_phase::Lost) {
       continue;
     }
-    Described.Targets.push_back({Id, Custody.record().Service, Custody.room(),
-                                 speedOf(State, Id),
-                                 Custody.isUsable() && !State.IsLeaving});
+    const auto Listed = State.Targets.find(Id);
+    Described.Targets.push_back(
+        {Id, Custody.record().Service, Custody.room(), speedOf(State, Id),
+         Listed != State.Targets.end() && Listed->second.Speed.isKnown(),
+         Custody.isUsable() && !State.IsLeaving});
   }
   return Described;
 }
--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -38,6 +38,8 @@
 }
 
 std::size_t peer_link::fill(datagram &Datagram, boot_time Now) {
+  Datagram.Epoch = Epoch;
+  Datagram.AckedEpoch = PeerEpoch;
   Datagram.AckedUpTo = ReceivedUpTo;
   for (const std::uint64_t Number : ReceivedBeyond) {
     if (Datagram.AckedBeyond.size() >= MaxAcksBeyond) {
@@ -67,7 +69,19 @@
   return Resent;
 }
 
+bool peer_link::enterEpoch(const datagram &Datagram) {
+  if (Datagram.Epoch > PeerEpoch) {
+    PeerEpoch = Datagram.Epoch;
+    ReceivedUpTo = 0;
+    ReceivedBeyond.clear();
+  }
+  return Datagram.Epoch == PeerEpoch;
+}
+
 void peer_link::acknowledge(const datagram &Datagram) {
+  if (Datagram.AckedEpoch != Epoch) {
+    return;
+  }
   Unacked.erase(Unacked.begin(), Unacked.upper_bound(Datagram.AckedUpTo));
   for (const std::uint64_t Number : Datagram.AckedBeyond) {
     Unacked.erase(Number);
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -10,10 +10,15 @@
 
 /// One direction pair of messages with a peer.
 ///
-/// @remarks A message arrives once or the peer's process is gone; messages may
-/// arrive in any order. A new incarnation of either side starts anew.
+/// @remarks A message arrives once or one side has forgotten the other;
+/// messages may arrive in any order. Each side numbers its messages within an
+/// epoch of its own, so that one that starts anew is not taken for the old one.
 class peer_link {
 public:
+  peer_link() = default;
+  /// @param[in] Epoch higher than those of all earlier links to the peer
+  explicit peer_link(std::uint64_t Epoch) : Epoch(Epoch) {}
+
   /// Numbers a message and keeps it until the peer has acknowledged it.
   /// @returns false when too many wait: the peer doesn't hear
   bool push(peer_message Message, boot_time Now);
@@ -28,6 +33,10 @@
   /// Takes the acknowledgements of a datagram.
   void acknowledge(const datagram &Datagram);
 
+  /// Begins anew when the peer's side has. @returns whether the messages of a
+  /// datagram are of the peer's present epoch
+  bool enterEpoch(const datagram &Datagram);
+
   /// @returns whether a message is new; a repeated one is only acknowledged
   bool accept(std::uint64_t Number);
 
@@ -44,6 +53,8 @@
     milliseconds ResendAfter{};
     bool WasSent = false;
   };
+  std::uint64_t Epoch = 1;
+  std::uint64_t PeerEpoch = 0; ///< 0: none heard yet
   std::map<std::uint64_t, kept_message> Unacked;
   std::uint64_t LastNumber = 0;
   std::uint64_t ReceivedUpTo = 0;
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -16,6 +16,8 @@
   peer_host Peer;
   Peer.Member = Member;
   Peer.KnownSince = Step.Now;
+  Peer.Link = peer_link(
+      static_cast<std::uint64_t>(Step.Now.time_since_epoch().count()));
   Step.log("peer_known",
            {{"host", Member.Host.Name},
             {"incarnation", std::to_string(Member.Host.Incarnation)},
@@ -28,6 +30,11 @@
     return;
   }
   const auto Found = Step.State.Peers.find(Member.Host.Name);
+  if (Found != Step.State.Peers.end() &&
+      Member.Host.Incarnation < Found->second.Member.Host.Incarnation &&
+      wasHeard(Found->second, Step.Now, config::HostSilence)) {
+    return; // the list lags: a later process of the host was heard
+  }
   const bool IsSame =
       Found != Step.State.Peers.end() &&
       Found->second.Member.Host.Incarnation == Member.Host.Incarnation;
@@ -131,6 +138,9 @@
     return; // meant for the process before this one
   }
   Peer->Link.acknowledge(Datagram);
+  if (!Peer->Link.enterEpoch(Datagram)) {
+    return; // late, from before the sender began anew
+  }
   const host_ref From = Datagram.From;
   for (auto &[Number, Message] : Datagram.Messages) {
     if (!Peer->Link.accept(Number)) {
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -207,6 +207,33 @@
   return Host;
 }
 
+namespace {
+/// Logs how the host stands, from time to time.
+void summarise(step &Step) {
+  if (Step.Now < Step.State.SummaryDueAt) {
+    return;
+  }
+  Step.State.SummaryDueAt = Step.Now + config::SummaryInterval;
+  const pool_state &State = Step.State;
+  const pool_figures Figures = figures(State, Step.Now);
+  std::size_t Usable = 0;
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    Usable += Custody.isUsable() ? 1 : 0;
+  }
+  const host_state Described = describeRoom(State, Step.Now);
+  Step.log("load", {{"jobs", std::to_string(Figures.JobsOpen)},
+                    {"queued", std::to_string(Figures.TasksQueued)},
+                    {"running", std::to_string(Figures.AttemptsRunning)},
+                    {"slots", std::to_string(Described.Slots)},
+                    {"wait_ms", std::to_string(Described.Wait.count())},
+                    {"owned", std::to_string(Figures.TargetsOwned)},
+                    {"usable", std::to_string(Usable)},
+                    {"listed", std::to_string(Figures.TargetsListed)},
+                    {"heard", std::to_string(Figures.PeersHeard)},
+                    {"version", std::to_string(Figures.ConfigurationVersion)}});
+}
+} // namespace
+
 std::uint64_t incarnationOf(const pool_state &State) {
   return State.Init.Incarnation;
 }
@@ -216,9 +243,11 @@
   step Step{State, Now, Effects};
   std::visit([&](auto &&Kind) { handle(Step, std::move(Kind)); },
              std::move(Event));
+  summarise(Step);
   if (Now >= State.DealDueAt) {
     State.DealDueAt = Now + config::DealInterval;
     dealOut(Step);
+    learnKinds(Step);
     stopOrphans(Step);
     reviewJobs(Step);
   } else if (nextJobTimer(State) <= Now) {
--- a/src/core/pool/speeds.cpp
+++ b/src/core/pool/speeds.cpp
@@ -8,8 +8,12 @@
 namespace tarragonbridge::pool {
 
 namespace {
-/// Tasks that a route's scale remembers.
-constexpr double ScaleMemory = 100;
+/// Jobs that a route's usual estimate remembers.
+constexpr double EstimateMemory = 200;
+
+double logOf(milliseconds Time) {
+  return std::log(static_cast<double>(std::max<std::int64_t>(1, Time.count())));
+}
 
 double ratio(milliseconds A, milliseconds B) {
   return static_cast<double>(std::max<std::int64_t>(1, A.count())) /
@@ -48,20 +52,16 @@
 
 milliseconds run_time_scale::expected(const std::string &Route,
                                       milliseconds Estimated) const {
-  const auto Found = Scales.find(Route);
-  const double Scale =
-      Found == Scales.end() ? 1 : std::exp(Found->second.LogMean);
-  const double Exact = Scale * static_cast<double>(Estimated.count());
-  return milliseconds(std::max<std::int64_t>(1, std::llround(Exact)));
+  const auto Found = Routes.find(Route);
+  const double Log = logOf(Estimated);
+  const double Usual = Found == Routes.end() ? Log : Found->second.LogMean;
+  const double Drawn = Usual + config::EstimateTrust * (Log - Usual);
+  return milliseconds(std::max<std::int64_t>(1, std::llround(std::exp(Drawn))));
 }
 
-void run_time_scale::learn(const std::string &Route, milliseconds Estimated,
-                           milliseconds RanAtSpeedOne) {
-  constexpr double MaxScale = 10;
-  scale &Scale = Scales[Route];
-  const double Value = std::log(
-      std::clamp(ratio(RanAtSpeedOne, Estimated), 1 / MaxScale, MaxScale));
-  learnLog(Scale.LogMean, Scale.Weight, Value, ScaleMemory);
+void run_time_scale::learn(const std::string &Route, milliseconds Estimated) {
+  usual &Usual = Routes[Route];
+  learnLog(Usual.LogMean, Usual.Weight, logOf(Estimated), EstimateMemory);
 }
 
 } // namespace tarragonbridge::pool
--- a/src/core/pool/speeds_p.h
+++ b/src/core/pool/speeds_p.h
@@ -18,27 +18,31 @@
   void learnOverdue(milliseconds Expected, milliseconds Age);
   /// Takes what an earlier owner has learnt.
   void assume(double Speed);
+  /// @returns whether anything was learnt
+  bool isKnown() const { return Weight > 0; }
 
 private:
   double LogMean = 0;
   double Weight = 0; ///< finished tasks behind the mean, bounded
 };
 
-/// How far off the callers' estimates of a route are.
+/// What is to be expected of a route's tasks.
+///
+/// @remarks Callers' estimates are right on the whole and far off one by one.
+/// An estimate is drawn towards the route's usual one, on a logarithmic scale.
 class run_time_scale {
 public:
   /// @returns the expected run time at speed 1
   milliseconds expected(const std::string &Route, milliseconds Estimated) const;
-  /// Learns from a task that has ended as done.
-  void learn(const std::string &Route, milliseconds Estimated,
-             milliseconds RanAtSpeedOne);
+  /// Learns what is usual from a submitted job.
+  void learn(const std::string &Route, milliseconds Estimated);
 
 private:
-  struct scale {
+  struct usual {
     double LogMean = 0;
     double Weight = 0;
   };
-  std::map<std::string, scale> Scales;
+  std::map<std::string, usual> Routes;
 };
 
 } // namespace tarragonbridge::pool
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -111,7 +111,9 @@
   std::uint64_t HolderNumber = 0; ///< 0: not registered yet
   boot_time DealNotBefore;
   boot_time DealDueAt;
+  boot_time SummaryDueAt;
   std::map<std::string, listed_target, std::less<>> Targets;
+  std::map<std::string, double, std::less<>> KindSpeeds; ///< means
   std::map<std::string, peer_host, std::less<>> Peers;
   owner_state Owner;
   coordinator_state Coordinator;
@@ -176,6 +178,8 @@
 void cancelTasks(step &Step, const tasks_cancelled &Cancelled);
 /// Passes on ends, starts what is queued, sends holds that are due.
 void runTargets(step &Step);
+/// Learns the speeds of kinds of targets from those of all hosts.
+void learnKinds(step &Step);
 /// Stops the tasks of coordinators that are gone.
 void stopOrphans(step &Step);
 /// @returns what this host tells of its room
