Never take a start that was carried out for one that was not sent

Found beside it by the simulated pool: a task submitted again was refused as an old run by its target and started again with the same run for ever. Ruled out: refusing to repeat at all (targets close idle connections: each would cost a raised token and a list); doubt in every failed connection. Change: a call was sent when bytes of a request left on any connection; an old run goes back to its coordinator, which raises the run. tests/unit/poolhost_test.cpp failed first, so did 'a caller that leaves has its tasks stopped' of the simulated pool; both pass. Also: model of targets, checker of the platform's rules, simulated pool of hosts.

--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -469,7 +469,9 @@
     }
     return;
   }
-  Task->AvoidTarget = Ended.Target;
+  if (Ended.End != attempt_end::NotStarted) {
+    Task->AvoidTarget = Ended.Target;
+  }
   Task->Phase = task_phase::Unplaced;
   if (Ended.End == attempt_end::Failed &&
       ++Task->Failures >= Job.Route.MaxAttempts) {
--- a/src/core/pool/custody.cpp
+++ b/src/core/pool/custody.cpp
@@ -139,6 +139,7 @@
     return;
   case order_outcome::OldRun:
     Context.Counters.add(counter::StartsRefused);
+    Attempt.NeedsHigherRun = true;
     doubt(Attempt, Context);
     return;
   case order_outcome::OtherIncarnation:
@@ -254,9 +255,10 @@
   const bool AllEndsListed = Answer.Ended.size() < MaxListedEnds;
   for (const attempt_ref &Ref : Missing) {
     if (AllEndsListed) {
-      const bool NeverRan = Attempts.at(Ref).Phase == attempt_phase::Doubted;
-      end(Ref, NeverRan ? attempt_end::NotStarted : attempt_end::Lost, NeverRan,
-          Context);
+      const owned_attempt &Attempt = Attempts.at(Ref);
+      const bool NeverRan = Attempt.Phase == attempt_phase::Doubted;
+      end(Ref, NeverRan ? attempt_end::NotStarted : attempt_end::Lost,
+          NeverRan && !Attempt.NeedsHigherRun, Context);
     }
   }
   HasUnknown = false;
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -39,6 +39,7 @@
   boot_time StartedAt;
   boot_time ConfirmedAt;
   boot_time DoubtedAt;
+  bool NeedsHigherRun = false; ///< an earlier submission's run ended there
   bool IsStopWanted = false;
   boot_time StopDueAt;
   std::string StopReason;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -54,6 +54,11 @@
   return false;
 }
 
+/// @returns whether a target that a task avoids is the only one
+bool hasOnly(const owner_state &Owner, const std::string &Target) {
+  return Owner.Custodies.size() == 1 && Owner.Custodies.contains(Target);
+}
+
 void refuse(step &Step, const host_ref &Coordinator,
             std::vector<attempt_ref> Tasks) {
   if (!Tasks.empty()) {
@@ -261,7 +266,7 @@
     Task.Attempt = {Offer.Job, Offered.Step, Offered.Task, Offered.Run};
     if (Step.State.IsLeaving || Owner.Custodies.empty() ||
         Owner.Queue.size() >= config::MaxQueuedTasks ||
-        hasTask(Owner, Task.Attempt)) {
+        hasOnly(Owner, Offered.AvoidTarget) || hasTask(Owner, Task.Attempt)) {
       Refused.push_back(std::move(Task.Attempt));
       continue;
     }
--- a/src/poolhost/http_calls.cpp
+++ b/src/poolhost/http_calls.cpp
@@ -169,18 +169,20 @@
   call_state *State = nullptr;
   long Status = 0;
   long Connections = 0;
-  double ConnectedAfter = 0;
+  long RequestBytes = 0;
   curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &State);
   curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
   curl_easy_getinfo(Easy, CURLINFO_NUM_CONNECTS, &Connections);
-  curl_easy_getinfo(Easy, CURLINFO_PRETRANSFER_TIME, &ConnectedAfter);
+  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &RequestBytes);
   NewConnections += static_cast<std::uint64_t>(Connections);
   call_result Result;
   if (Code == CURLE_OK) {
     Result.Status = static_cast<int>(Status);
     Result.Body = std::move(State->AnswerBody);
   } else {
-    Result.WasSent = Code != CURLE_COULDNT_CONNECT && ConnectedAfter > 0;
+    // Counted over all connections: the library repeats a call by itself when
+    // a kept connection closes, and the repetition may not even connect.
+    Result.WasSent = RequestBytes > 0;
   }
   curl_multi_remove_handle(Multi, Easy);
   curl_easy_reset(Easy);
--- /dev/null
+++ b/tests/unit/pool_world.cpp
@@ -0,0 +1,468 @@
+#include "pool_world.h"
+
+#include "tarragonbridge/pool/config.h"
+
+#include <algorithm>
+
+namespace tarragonbridge::pool {
+
+namespace {
+constexpr milliseconds CancelBound{3'000};
+constexpr milliseconds DrainBound{2'000};
+constexpr milliseconds SettleFor{1'500};
+
+std::string hostName(std::size_t Host) {
+  return "host-" + std::to_string(Host);
+}
+std::string domainName(std::size_t Domain) {
+  return "domain-" + std::to_string(Domain);
+}
+} // namespace
+
+struct pool_world::simulated_host {
+  pool_init Init;
+  pool_host Host; ///< null: dead
+  std::uint64_t Life = 0;
+  boot_time TimerAt = boot_time::max();
+  bool IsFrozen = false;
+  bool HasEnded = false;
+  std::vector<event> Held; ///< events while it is frozen
+};
+
+pool_world::pool_world(const world_init &Given)
+    : Init(Given), Random(Given.Seed), Now(std::chrono::seconds(100)),
+      Checker(CancelBound, DrainBound) {
+  for (std::size_t Domain = 0; Domain < Init.Domains; ++Domain) {
+    for (std::size_t Index = 0; Index < Init.TargetsPerDomain; ++Index) {
+      emulator::target_model_init Target;
+      Target.Id = "t" + std::to_string(Domain) + "-" + std::to_string(Index);
+      Target.Service = "service";
+      Target.FailureDomain = domainName(Domain);
+      Target.Speed = Init.Speeds[Index % Init.Speeds.size()];
+      Target.ClockRate = Index % 2 == 0 ? 1 : 0.98;
+      Checker.addTarget(Target);
+      TargetIds.push_back(Target.Id);
+      const std::string Id = Target.Id;
+      Targets.emplace(
+          Id, emulator::target_model(
+                  Target, Now - std::chrono::seconds(50), 1'000,
+                  [this](const emulator::target_event &Event) {
+                    Starts +=
+                        Event.Kind == emulator::target_event::kind::Started ? 1
+                                                                            : 0;
+                    Checker.noteTarget(Event, [this](const attempt_ref &Ref) {
+                      return profileOf(Ref);
+                    });
+                  }));
+    }
+  }
+  Hosts.resize(Init.Hosts);
+  for (std::size_t Host = 0; Host < Init.Hosts; ++Host) {
+    Hosts[Host].Init.Name = hostName(Host);
+    Hosts[Host].Init.FailureDomain = domainName(Host % Init.Domains);
+    begin(Host);
+  }
+  listAll();
+}
+
+pool_world::~pool_world() = default;
+
+void pool_world::at(boot_time When, std::function<void()> Action) {
+  Actions.push({When, ++LastNumber, std::move(Action)});
+}
+
+microseconds pool_world::delay() {
+  constexpr std::int64_t Least = 200;
+  constexpr std::int64_t Most = 1'500;
+  return microseconds(
+      std::uniform_int_distribution<std::int64_t>(Least, Most)(Random));
+}
+
+void pool_world::runFor(milliseconds Time) {
+  const boot_time End = Now + Time;
+  while (!Actions.empty() && Actions.top().At <= End) {
+    const timed_action Next = Actions.top();
+    Actions.pop();
+    Now = std::max(Now, Next.At);
+    Next.Action();
+  }
+  Now = End;
+}
+
+void pool_world::settle() { runFor(SettleFor); }
+
+void pool_world::begin(std::size_t Host) {
+  simulated_host &Simulated = Hosts[Host];
+  Simulated.Init.Incarnation =
+      static_cast<std::uint64_t>(Now.time_since_epoch().count()) + Host;
+  Simulated.Host = makePoolHost(Simulated.Init);
+  ++Simulated.Life;
+  Simulated.TimerAt = boot_time::max();
+  Simulated.IsFrozen = false;
+  Simulated.HasEnded = false;
+  Simulated.Held.clear();
+}
+
+configuration pool_world::makeConfiguration() const {
+  configuration Configuration;
+  Configuration.Version = 1;
+  Configuration.Services["service"] = false;
+  route Route;
+  Route.Name = "r0";
+  Route.HostName = "caller.example";
+  Route.PathPrefix = "/r0/";
+  Route.Service = "service";
+  Route.MaxAttempts = 2;
+  Route.Stretch = 1.6;
+  Route.ObjectiveMargin = milliseconds(60);
+  Configuration.Routes.push_back(Route);
+  return Configuration;
+}
+
+void pool_world::introduce(std::size_t Host) {
+  simulated_host &Simulated = Hosts[Host];
+  post(Host, store_contact{true});
+  post(Host, configuration_read{makeConfiguration()});
+  targets_listed Listed{true, {}, {}};
+  for (const auto &[Id, Target] : Targets) {
+    target_record Record = Target.record(Id);
+    Record.IsDraining = Draining.contains(Id);
+    Listed.Present.push_back(std::move(Record));
+  }
+  post(Host, std::move(Listed));
+  members_listed Members{true, {}, {}};
+  for (const simulated_host &Other : Hosts) {
+    if (Other.Host != nullptr) {
+      Members.Present.push_back({{Other.Init.Name, Other.Init.Incarnation},
+                                 Other.Init.Name,
+                                 Other.Init.FailureDomain});
+    }
+  }
+  post(Host, std::move(Members));
+  if (Simulated.Host != nullptr) {
+    post(Host, member_registered{++LastHolder});
+  }
+}
+
+void pool_world::listAll() {
+  for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+    if (Hosts[Host].Host != nullptr && !Hosts[Host].IsFrozen) {
+      introduce(Host);
+    }
+  }
+}
+
+void pool_world::post(std::size_t Host, event &&Event) {
+  simulated_host &Simulated = Hosts[Host];
+  if (Simulated.Host == nullptr) {
+    return;
+  }
+  if (Simulated.IsFrozen) {
+    Simulated.Held.push_back(std::move(Event));
+    return;
+  }
+  std::vector<effect> Effects;
+  reduce(*Simulated.Host, std::move(Event), Now, Effects);
+  for (effect &Effect : Effects) {
+    carryOut(Host, std::move(Effect));
+  }
+  scheduleTimer(Host);
+}
+
+void pool_world::scheduleTimer(std::size_t Host) {
+  simulated_host &Simulated = Hosts[Host];
+  if (Simulated.Host == nullptr) {
+    return;
+  }
+  const boot_time Due =
+      std::max(nextTimer(*Simulated.Host), Now + microseconds(50));
+  if (Due >= Simulated.TimerAt) {
+    return;
+  }
+  Simulated.TimerAt = Due;
+  at(Due, [this, Host, Life = Simulated.Life, Due] {
+    simulated_host &Later = Hosts[Host];
+    if (Later.Life != Life || Later.TimerAt != Due) {
+      return;
+    }
+    Later.TimerAt = boot_time::max();
+    post(Host, timer_fired{});
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, effect &&Effect) {
+  if (auto *Answer = std::get_if<answer_caller>(&Effect)) {
+    request_record &Record =
+        Requests[static_cast<std::uint64_t>(Answer->Request)];
+    Record.Answer = Answer->Kind;
+    Record.AnsweredAt = Now;
+    Checker.noteAnswer(Record.Job,
+                       Answer->Kind == answer_kind::Overloaded ||
+                           Answer->Kind == answer_kind::ShuttingDown);
+  } else if (auto *Start = std::get_if<start_attempt>(&Effect)) {
+    carryOut(Host, std::move(*Start));
+  } else if (auto *Stop = std::get_if<stop_attempt>(&Effect)) {
+    carryOut(Host, std::move(*Stop));
+  } else if (auto *Hold = std::get_if<hold_target>(&Effect)) {
+    carryOut(Host, std::move(*Hold));
+  } else if (auto *Datagram = std::get_if<send_datagram>(&Effect)) {
+    carryOut(Host, std::move(*Datagram));
+  } else if (std::holds_alternative<shutdown_finished>(Effect)) {
+    Hosts[Host].HasEnded = true;
+    at(Now, [this, Host] { kill(Host); });
+  }
+}
+
+emulator::target_model *pool_world::find(const std::string &Target) {
+  const auto Found = Targets.find(Target);
+  return Found == Targets.end() ? nullptr : &Found->second;
+}
+
+bool pool_world::reaches(std::size_t Host, const std::string &Target) const {
+  return !CutFromTargets.contains(Host) && Targets.contains(Target);
+}
+
+void pool_world::reply(std::size_t Host, std::uint64_t Life, event Event) {
+  at(Now + delay(), [this, Host, Life, Event = std::move(Event)]() mutable {
+    if (Hosts[Host].Life == Life && !CutFromTargets.contains(Host)) {
+      post(Host, std::move(Event));
+    }
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, start_attempt &&Start) {
+  const std::uint64_t Life = Hosts[Host].Life;
+  const bool IsLate = draw() < LateShare;
+  const bool IsReached = reaches(Host, Start.Target);
+  if (IsLate || !IsReached) {
+    at(Now + config::OrderTimeout, [this, Host, Life, Start] {
+      if (Hosts[Host].Life == Life) {
+        post(Host, start_answered{Start.Target, Start.Attempt, Start.Token,
+                                  order_outcome::NoAnswer, std::nullopt});
+      }
+    });
+  }
+  if (!IsReached) {
+    return;
+  }
+  const auto Late = std::chrono::duration_cast<microseconds>(
+      milliseconds(2'000) + draw() * milliseconds(4'000));
+  at(Now + (IsLate ? Late : delay()), [this, Host, Life, Start, IsLate] {
+    emulator::target_model *Target = find(Start.Target);
+    if (Target == nullptr) {
+      return;
+    }
+    const order_outcome Outcome =
+        Target->start(Start.Attempt, Start.Token, Start.Deadline,
+                      profileOf(Start.Attempt), Now);
+    if (!IsLate) {
+      reply(Host, Life,
+            start_answered{Start.Target, Start.Attempt, Start.Token, Outcome,
+                           Target->clock(Now)});
+    }
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, stop_attempt &&Stop) {
+  if (!reaches(Host, Stop.Target)) {
+    return;
+  }
+  at(Now + delay(), [this, Host, Life = Hosts[Host].Life, Stop] {
+    if (emulator::target_model *Target = find(Stop.Target)) {
+      const order_outcome Outcome = Target->stop(Stop.Attempt, Stop.Token, Now);
+      reply(Host, Life,
+            stop_answered{Stop.Target, Stop.Attempt, Stop.Token, Outcome});
+    }
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, hold_target &&Hold) {
+  if (!reaches(Host, Hold.Target)) {
+    return;
+  }
+  at(Now + delay(), [this, Host, Life = Hosts[Host].Life, Hold] {
+    answerHold(Host, Life, Hold, Now + Hold.Wait);
+  });
+}
+
+void pool_world::answerHold(std::size_t Host, std::uint64_t Life,
+                            hold_target Hold, boot_time Until) {
+  emulator::target_model *Target = find(Hold.Target);
+  if (Target == nullptr) {
+    return;
+  }
+  hold_answered Answer;
+  Answer.Target = Hold.Target;
+  Answer.Token = Hold.Token;
+  Answer.Call = Hold.Call;
+  Answer.Outcome =
+      Target->hold(Hold.Token, Hold.LastEnd, Hold.Deadline, Answer, Now);
+  Answer.TargetClock = Target->clock(Now);
+  const bool IsWaiting = Answer.Outcome == order_outcome::Accepted &&
+                         Answer.Ended.empty() && Now < Until;
+  if (!IsWaiting) {
+    reply(Host, Life, std::move(Answer));
+    return;
+  }
+  Hold.Deadline.reset();
+  const boot_time Next = std::clamp(Target->nextEnd(), Now + milliseconds(2),
+                                    std::min(Until, Now + milliseconds(10)));
+  at(Next,
+     [this, Host, Life, Hold, Until] { answerHold(Host, Life, Hold, Until); });
+}
+
+void pool_world::carryOut(std::size_t Host, send_datagram &&Sent) {
+  if (draw() < Init.DatagramLoss) {
+    return;
+  }
+  const std::string From = hostName(Host);
+  at(Now + delay(), [this, Host, From, Sent] {
+    for (std::size_t Other = 0; Other < Hosts.size(); ++Other) {
+      if (hostName(Other) != Sent.Address ||
+          CutHosts.contains(std::minmax(Host, Other))) {
+        continue;
+      }
+      if (auto Datagram = decodeDatagram(Sent.Bytes)) {
+        post(Other, datagram_received{std::move(*Datagram), From});
+      }
+    }
+  });
+}
+
+emulator::task_profile pool_world::profileOf(const attempt_ref &Attempt) const {
+  const auto Found = Jobs.find(Attempt.Job);
+  if (Found == Jobs.end()) {
+    return {};
+  }
+  return {Found->second.Needs, Found->second.Work, Found->second.Fails};
+}
+
+request_handle pool_world::submit(std::size_t Host, const world_job &Job) {
+  const request_handle Request{Requests.size() + 1};
+  Jobs[Job.Id] = Job;
+  Requests[static_cast<std::uint64_t>(Request)] = {Job.Id, Now, {}, {}};
+  Checker.noteSubmitted({Job.Id, {"service"}, {{0, Job.Tasks}}, 2, false});
+  job_posted Posted;
+  Posted.Request = Request;
+  Posted.HostName = "caller.example";
+  Posted.Path = "/" + Job.Route + "/" + Job.Id;
+  Posted.Job.Specification = "spec";
+  Posted.Job.Steps.push_back({Job.Tasks, Job.Needs, Job.Work});
+  post(Host, std::move(Posted));
+  return Request;
+}
+
+void pool_world::leave(std::size_t Host, request_handle Request) {
+  post(Host, caller_left{Request});
+}
+
+std::optional<answer_kind> pool_world::answerOf(request_handle Request) const {
+  return Requests.at(static_cast<std::uint64_t>(Request)).Answer;
+}
+
+milliseconds pool_world::answeredAfter(request_handle Request) const {
+  const request_record &Record =
+      Requests.at(static_cast<std::uint64_t>(Request));
+  return std::chrono::duration_cast<milliseconds>(Record.AnsweredAt -
+                                                  Record.At);
+}
+
+std::size_t pool_world::count(answer_kind Kind) const {
+  return static_cast<std::size_t>(
+      std::count_if(Requests.begin(), Requests.end(), [&](const auto &Entry) {
+        return Entry.second.Answer == Kind;
+      }));
+}
+
+void pool_world::kill(std::size_t Host) {
+  Hosts[Host].Host.reset();
+  ++Hosts[Host].Life;
+}
+
+void pool_world::restart(std::size_t Host) {
+  begin(Host);
+  listAll();
+}
+
+void pool_world::terminate(std::size_t Host, milliseconds Allowed) {
+  post(Host, shutdown_requested{Allowed});
+}
+
+bool pool_world::hasEnded(std::size_t Host) const {
+  return Hosts[Host].HasEnded;
+}
+
+void pool_world::freeze(std::size_t Host) { Hosts[Host].IsFrozen = true; }
+
+void pool_world::wake(std::size_t Host) {
+  Hosts[Host].IsFrozen = false;
+  std::vector<event> Held = std::move(Hosts[Host].Held);
+  Hosts[Host].Held.clear();
+  for (event &Event : Held) {
+    post(Host, std::move(Event));
+  }
+  post(Host, timer_fired{});
+}
+
+void pool_world::cutHosts(std::size_t A, std::size_t B) {
+  CutHosts.insert(std::minmax(A, B));
+}
+
+void pool_world::cutFromTargets(std::size_t Host) {
+  CutFromTargets.insert(Host);
+}
+
+void pool_world::heal() {
+  CutHosts.clear();
+  CutFromTargets.clear();
+}
+
+void pool_world::setDraining(const std::string &Target) {
+  Draining.insert(Target);
+  Checker.noteDraining(Target, Now);
+  listAll();
+}
+
+void pool_world::removeTarget(const std::string &Target) {
+  Targets.at(Target).crash(Now, 0);
+  Targets.erase(Target);
+  listAll();
+}
+
+emulator::target_model &pool_world::target(std::size_t Index) {
+  return Targets.at(TargetIds[Index]);
+}
+
+std::size_t pool_world::targetCount() const { return Targets.size(); }
+
+pool_figures pool_world::figuresOf(std::size_t Host) const {
+  return figures(*Hosts[Host].Host, Now);
+}
+
+std::uint64_t pool_world::counted(counter Counter) const {
+  std::uint64_t Sum = 0;
+  for (const simulated_host &Host : Hosts) {
+    if (Host.Host != nullptr) {
+      Sum += figures(*Host.Host, Now)
+                 .Counters.at(static_cast<std::size_t>(Counter));
+    }
+  }
+  return Sum;
+}
+
+std::string pool_world::broken() {
+  Checker.finish(Now);
+  std::string Lines;
+  for (const emulator::broken_rule &Broken : Checker.broken()) {
+    Lines += std::string(nameOf(Broken.Rule)) + ": " + Broken.What + "\n";
+  }
+  return Lines;
+}
+
+bool pool_world::isEverythingIdle() const {
+  return std::none_of(Targets.begin(), Targets.end(), [](const auto &Entry) {
+    return Entry.second.isRunning();
+  });
+}
+
+} // namespace tarragonbridge::pool
--- /dev/null
+++ b/tests/unit/pool_world_test.cpp
@@ -0,0 +1,272 @@
+/// Pool hosts together, under faults, with the platform's rules checked.
+#include "pool_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::pool;
+using namespace std::chrono_literals;
+
+namespace {
+/// Submits jobs evenly over all hosts for a time.
+std::vector<request_handle> submitFor(pool_world &World, std::size_t Hosts,
+                                      milliseconds Time, milliseconds Gap,
+                                      const world_job &Like,
+                                      const std::string &Prefix) {
+  std::vector<request_handle> Requests;
+  for (milliseconds Passed{0}; Passed < Time; Passed += Gap) {
+    world_job Job = Like;
+    Job.Id = Prefix + std::to_string(Requests.size());
+    Requests.push_back(World.submit(Requests.size() % Hosts, Job));
+    World.runFor(Gap);
+  }
+  return Requests;
+}
+} // namespace
+
+TEST_CASE("a calm pool answers every job whole", "[pool]") {
+  world_init Init;
+  Init.Hosts = GENERATE(1U, 3U, 6U);
+  Init.Domains = Init.Hosts > 1 ? 2 : 1;
+  pool_world World(Init);
+  World.settle();
+  world_job Job;
+  Job.Tasks = 4;
+  submitFor(World, Init.Hosts, 3s, 100ms, Job, "j");
+  World.runFor(2s);
+  CHECK(World.count(answer_kind::JobDone) == 30);
+  CHECK(World.startsSeen() == 120);
+  CHECK(World.broken().empty());
+}
+
+TEST_CASE("each target has one owner", "[pool]") {
+  world_init Init;
+  Init.Hosts = 4;
+  Init.Domains = 2;
+  Init.TargetsPerDomain = 5;
+  pool_world World(Init);
+  World.settle();
+  std::uint64_t Owned = 0;
+  for (std::size_t Host = 0; Host < Init.Hosts; ++Host) {
+    const std::uint64_t Here = World.figuresOf(Host).TargetsOwned;
+    CHECK(Here >= 2);
+    Owned += Here;
+  }
+  CHECK(Owned == 10);
+}
+
+TEST_CASE("jobs wider than one owner's room run at several", "[pool]") {
+  world_init Init;
+  Init.Hosts = 3;
+  Init.TargetsPerDomain = 6;
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"wide", 12};
+  const request_handle Request = World.submit(0, Job);
+  World.runFor(2s);
+  CHECK(World.answerOf(Request) == answer_kind::JobDone);
+  CHECK(World.answeredAfter(Request) < 150ms);
+  CHECK(World.broken().empty());
+}
+
+TEST_CASE("no rule breaks when hosts are killed, frozen or cut off", "[pool]") {
+  struct fault_case {
+    std::string Name;
+    std::function<void(pool_world &)> Begin;
+    std::function<void(pool_world &)> End;
+  };
+  const fault_case Case = GENERATE(values<fault_case>({
+      {"killed and restarted", [](pool_world &W) { W.kill(0); },
+       [](pool_world &W) { W.restart(0); }},
+      {"two killed",
+       [](pool_world &W) {
+         W.kill(0);
+         W.kill(1);
+       },
+       [](pool_world &W) {
+         W.restart(0);
+         W.restart(1);
+       }},
+      {"all killed",
+       [](pool_world &W) {
+         for (std::size_t Host = 0; Host < 4; ++Host) {
+           W.kill(Host);
+         }
+       },
+       [](pool_world &W) {
+         for (std::size_t Host = 0; Host < 4; ++Host) {
+           W.restart(Host);
+         }
+       }},
+      {"frozen", [](pool_world &W) { W.freeze(0); },
+       [](pool_world &W) { W.wake(0); }},
+      {"cut from two",
+       [](pool_world &W) {
+         W.cutHosts(0, 1);
+         W.cutHosts(0, 2);
+       },
+       [](pool_world &W) { W.heal(); }},
+      {"cut from all",
+       [](pool_world &W) {
+         W.cutHosts(0, 1);
+         W.cutHosts(0, 2);
+         W.cutHosts(0, 3);
+       },
+       [](pool_world &W) { W.heal(); }},
+      {"cut from targets", [](pool_world &W) { W.cutFromTargets(0); },
+       [](pool_world &W) { W.heal(); }},
+      {"late orders", [](pool_world &W) { W.setLateOrders(0.1); },
+       [](pool_world &W) { W.setLateOrders(0); }},
+      {"late orders and a kill",
+       [](pool_world &W) {
+         W.setLateOrders(0.1);
+         W.kill(2);
+       },
+       [](pool_world &W) {
+         W.setLateOrders(0);
+         W.restart(2);
+       }},
+      {"target reborn",
+       [](pool_world &W) { W.target(1).crash(W.now(), 2'000); },
+       [](pool_world &W) { W.listAll(); }},
+      {"target frozen",
+       [](pool_world &W) { W.target(1).setSlowness(0, W.now()); },
+       [](pool_world &W) { W.target(1).setSlowness(1, W.now()); }},
+      {"target failing", [](pool_world &W) { W.target(1).setFailing(true); },
+       [](pool_world &W) { W.target(1).setFailing(false); }},
+      {"target drains", [](pool_world &W) { W.setDraining("t0-1"); },
+       [](pool_world &W) { W.removeTarget("t0-1"); }},
+  }));
+  INFO(Case.Name);
+  world_init Init;
+  Init.Hosts = 4;
+  Init.Domains = 2;
+  Init.Seed = GENERATE(1U, 2U, 3U);
+  Init.DatagramLoss = 0.02;
+  INFO("seed " << Init.Seed);
+  pool_world World(Init);
+  World.settle();
+  world_job Job;
+  Job.Tasks = 3;
+  submitFor(World, 4, 1s, 70ms, Job, "before");
+  Case.Begin(World);
+  submitFor(World, 4, 4s, 70ms, Job, "during");
+  Case.End(World);
+  World.listAll();
+  World.runFor(4s);
+  const auto After = submitFor(World, 4, 1s, 70ms, Job, "after");
+  World.runFor(6s);
+  CHECK(World.broken() == "");
+  for (const request_handle Request : After) {
+    CHECK(World.answerOf(Request) == answer_kind::JobDone);
+  }
+  CHECK(World.isEverythingIdle());
+}
+
+TEST_CASE("jobs run again after hosts forgot each other", "[pool]") {
+  // Hosts that aren't registered are forgotten when silent; the numbers of
+  // messages then begin anew on one side only.
+  world_init Init;
+  Init.Hosts = 2;
+  pool_world World(Init);
+  World.settle();
+  world_job Job;
+  Job.Tasks = 6;
+  submitFor(World, 2, 1s, 100ms, Job, "before");
+  World.cutHosts(0, 1);
+  World.post(0, members_listed{true, {}, {}});
+  World.runFor(7s);
+  World.heal();
+  World.listAll();
+  World.runFor(3s);
+  const auto After = submitFor(World, 2, 1s, 100ms, Job, "after");
+  World.runFor(2s);
+  for (const request_handle Request : After) {
+    CHECK(World.answerOf(Request) == answer_kind::JobDone);
+  }
+  CHECK(World.broken() == "");
+}
+
+TEST_CASE("a caller that leaves has its tasks stopped", "[pool]") {
+  world_init Init;
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"long", 8};
+  Job.Work = 900ms;
+  const request_handle Request = World.submit(0, Job);
+  World.runFor(100ms);
+  CHECK_FALSE(World.isEverythingIdle());
+  World.leave(0, Request);
+  World.runFor(60ms);
+  CHECK(World.isEverythingIdle());
+  const request_handle Again = World.submit(1, Job);
+  World.runFor(3s);
+  CHECK(World.answerOf(Again) == answer_kind::JobDone);
+  CHECK(World.broken() == "");
+}
+
+TEST_CASE("tasks of a coordinator that died are stopped before a resubmission",
+          "[pool]") {
+  constexpr milliseconds ResendAfter = 1'300ms;
+  world_init Init;
+  Init.Hosts = 3;
+  Init.TargetsPerDomain = 9;
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"long", 12};
+  Job.Work = 2s;
+  World.submit(0, Job);
+  World.runFor(100ms);
+  World.kill(0);
+  World.runFor(ResendAfter);
+  const request_handle Again = World.submit(1, Job);
+  World.runFor(6s);
+  CHECK(World.answerOf(Again) == answer_kind::JobDone);
+  CHECK(World.broken() == "");
+}
+
+TEST_CASE("a graceful shutdown cuts nothing off", "[pool]") {
+  world_init Init;
+  Init.Hosts = 3;
+  Init.Seed = GENERATE(1U, 2U);
+  pool_world World(Init);
+  World.settle();
+  world_job Job;
+  Job.Tasks = 2;
+  Job.Work = 400ms;
+  const auto Before = submitFor(World, 3, 1s, 150ms, Job, "before");
+  World.terminate(0, 6s);
+  World.runFor(6s);
+  CHECK(World.hasEnded(0));
+  CHECK(World.count(answer_kind::JobDone) == Before.size());
+  CHECK(World.counted(counter::EndsStopped) == 0);
+  CHECK(World.counted(counter::EndsLost) == 0);
+  CHECK(World.broken() == "");
+}
+
+TEST_CASE("a pool without room refuses, and truly", "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.TargetsPerDomain = 2;
+  pool_world World(Init);
+  World.settle();
+  world_job Job;
+  Job.Tasks = 4;
+  Job.Work = 200ms;
+  submitFor(World, 2, 2s, 40ms, Job, "j");
+  World.runFor(3s);
+  CHECK(World.count(answer_kind::Overloaded) > 10);
+  CHECK(World.count(answer_kind::JobDone) >= 9);
+  CHECK(World.broken() == "");
+}
+
+TEST_CASE("a job fails when a task has failed as often as it may", "[pool]") {
+  pool_world World({});
+  World.settle();
+  world_job Job{"poison", 2};
+  Job.Fails = true;
+  const request_handle Request = World.submit(0, Job);
+  World.runFor(1s);
+  CHECK(World.answerOf(Request) == answer_kind::JobFailed);
+  CHECK(World.counted(counter::EndsFailed) >= 2);
+}
--- /dev/null
+++ b/tools/emulator/rules.h
@@ -0,0 +1,97 @@
+/// Checks the platform's rules on what its targets and callers saw.
+#pragma once
+
+#include "emulator/target_model.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tarragonbridge::emulator {
+
+enum class rule : std::uint8_t {
+  Limit,   ///< a target is over its capacity
+  Twice,   ///< two runs of a task at the same time
+  Unasked, ///< a start that no caller asked for, or long after its cancelling
+  Refused, ///< a start of a job all of whose submissions were refused
+  Budget,  ///< a start after as many failures as the route allows
+  Route,   ///< a start at a service that the route never named
+  Drain,   ///< a start at a target that has been leaving for longer
+  Config,  ///< an answer by a configuration that is no longer in force
+  Lost,    ///< a request cut off by planned work
+};
+std::string_view nameOf(rule Rule);
+
+struct broken_rule {
+  rule Rule = rule::Limit;
+  boot_time At;
+  std::string What;
+};
+
+/// What a caller submitted.
+struct submitted_job {
+  std::string Id;
+  std::set<std::string> Services; ///< of its route, in any configuration
+  std::map<std::uint32_t, std::uint32_t> Counts; ///< tasks by step
+  std::uint32_t MaxAttempts = 1;
+  bool IsKept = false; ///< state must last; else a break allows a new run
+};
+
+class rules_checker {
+public:
+  /// Past the bound a cancelled job's task may not start.
+  explicit rules_checker(milliseconds CancelBound, milliseconds DrainBound)
+      : CancelBound(CancelBound), DrainBound(DrainBound) {}
+
+  void addTarget(const target_model_init &Target);
+  void noteSubmitted(const submitted_job &Job);
+  /// A submission got an answer: refused, or any other.
+  void noteAnswer(const std::string &Job, bool IsRefused);
+  /// A caller's connection ended without an answer. Planned: around a
+  /// shutdown, with no unplanned fault near.
+  void noteCut(const std::string &Job, bool IsPlanned, boot_time At);
+  void noteCancelled(const std::string &Job, boot_time At);
+  void noteDraining(const std::string &Target, boot_time At);
+  void
+  noteTarget(const target_event &Event,
+             const std::function<task_profile(const attempt_ref &)> &ProfileOf);
+  /// A request was answered as a configuration older than the one in force
+  /// allows.
+  void noteOldConfiguration(const std::string &What, boot_time At);
+  /// Checks what can only be said at the end.
+  void finish(boot_time At);
+
+  const std::vector<broken_rule> &broken() const { return Broken; }
+
+private:
+  struct job_record {
+    submitted_job Job;
+    bool WasRefused = false;
+    bool HadOtherAnswer = false; ///< or none yet
+    std::size_t Submissions = 0;
+    std::size_t Refusals = 0;
+    bool HasStarted = false;
+    std::optional<boot_time> CancelledAt;
+  };
+  struct running_attempt {
+    std::string Target;
+    task_needs Needs;
+  };
+  using task_key = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+
+  void add(rule Rule, boot_time At, std::string What);
+  void checkStart(const target_event &Event, const task_profile &Profile);
+
+  milliseconds CancelBound;
+  milliseconds DrainBound;
+  std::map<std::string, target_model_init> Targets;
+  std::map<std::string, boot_time> DrainingSince;
+  std::map<std::string, job_record> Jobs;
+  std::map<std::string, task_needs> Used; ///< by target
+  std::map<task_key, std::map<std::uint32_t, running_attempt>> Running;
+  std::map<task_key, std::uint32_t> Failures;
+  std::vector<broken_rule> Broken;
+};
+
+} // namespace tarragonbridge::emulator
--- /dev/null
+++ b/tools/emulator/target_model.h
@@ -0,0 +1,112 @@
+/// Model of one of the platform's targets: fencing tokens, leases, runs and
+/// their ends, as its page describes them. Pure; the time is passed in.
+#pragma once
+
+#include "tarragonbridge/pool/events.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tarragonbridge::emulator {
+
+using pool::attempt_end;
+using pool::attempt_ref;
+using pool::order_outcome;
+using pool::task_needs;
+
+struct target_model_init {
+  std::string Id;
+  std::string Service;
+  std::string FailureDomain;
+  std::string Kind = "a";
+  task_needs Capacity{32'000, 65'536, 0};
+  double Speed = 1;
+  double ClockRate = 1; ///< of its steady clock; may be 2 % slow
+  milliseconds LongestLease{1'000};
+};
+
+/// What a target does at one moment, for the checker.
+struct target_event {
+  enum class kind : std::uint8_t { Started, Ended };
+  kind Kind = kind::Started;
+  boot_time At;
+  std::string Target;
+  attempt_ref Attempt;
+  attempt_end End = attempt_end::Done;
+};
+
+/// What a task is, which the target learns from its specification.
+struct task_profile {
+  task_needs Needs;
+  milliseconds Work{}; ///< at speed 1
+  bool Fails = false;
+};
+
+class target_model {
+public:
+  /// Told of each start and end.
+  using recorder = std::function<void(const target_event &)>;
+
+  target_model(target_model_init Init, boot_time StartedAt,
+               std::int64_t Incarnation, recorder Record);
+
+  order_outcome start(const attempt_ref &Attempt, std::uint64_t Token,
+                      milliseconds Deadline, const task_profile &Profile,
+                      boot_time Now);
+  order_outcome stop(const attempt_ref &Attempt, std::uint64_t Token,
+                     boot_time Now);
+  /// Fills the lists of an answer when the token is accepted.
+  order_outcome hold(std::uint64_t Token, std::uint64_t LastEnd,
+                     std::optional<milliseconds> Deadline,
+                     pool::hold_answered &Answer, boot_time Now);
+  /// Ends what is done or whose lease is over.
+  void advance(boot_time Now);
+  /// @returns when something ends next
+  boot_time nextEnd() const;
+
+  /// Loses everything and begins a new life.
+  void crash(boot_time Now, std::int64_t Incarnation);
+  /// Work takes this many times as long from now on; 0: it stands still.
+  void setSlowness(double Factor, boot_time Now);
+  /// Everything that is started fails at once.
+  void setFailing(bool Fails) { IsFailing = Fails; }
+
+  bool hasEnds() const { return !Ended.empty(); }
+  bool isRunning() const { return !Running.empty(); }
+  std::uint64_t highestToken() const { return Token; }
+  milliseconds clock(boot_time Now) const;
+  const target_model_init &init() const { return Init; }
+  std::int64_t incarnation() const { return Incarnation; }
+  pool::target_record record(const std::string &Address) const;
+
+private:
+  struct run {
+    attempt_ref Attempt;
+    task_profile Profile;
+    double LeftMs = 0; ///< of work, at speed 1
+  };
+  void prolong(milliseconds Deadline, boot_time Now);
+  void finish(std::size_t Index, attempt_end End, boot_time Now);
+  double rate() const;
+  boot_time leaseEnd() const;
+
+  target_model_init Init;
+  boot_time StartedAt;
+  std::int64_t Incarnation = 0;
+  recorder Record;
+  std::uint64_t Token = 0;
+  milliseconds Deadline{}; ///< on its clock
+  std::vector<run> Running;
+  std::vector<pool::listed_end> Ended; ///< not taken note of
+  std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>,
+           std::uint32_t>
+      HighestEnded; ///< run, by task
+  std::uint64_t LastNumber = 0;
+  boot_time AdvancedTo;
+  double Slowness = 1;
+  bool IsFailing = false;
+};
+
+} // namespace tarragonbridge::emulator
