Queue what can be in time first, probe for ends, learn speeds only from ends heard at once

Ruled out: custody (no rule broken, no target lost). Change: two classes in the owner's queue; a task waits for a faster target that ends it sooner; placing compares a free target with the shortest queue; jobs wait for a first owner for half their objective; an attempt past 1.5 times its expected run is asked for; speeds that were not measured for a second are drawn to their kind's; orders time out after 90 ms.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -19,11 +19,16 @@
 constexpr milliseconds MaxTimeLimit{600'000};
 
 // Orders to targets.
-constexpr milliseconds OrderTimeout{150}; ///< of a start or a stop
-constexpr milliseconds HoldWait{400};     ///< while attempts run
+constexpr milliseconds OrderTimeout{90}; ///< of a start or a stop
+constexpr milliseconds HoldWait{400};    ///< while attempts run
 constexpr milliseconds IdleHoldWait{2'000};
-constexpr milliseconds HoldMargin{200};    ///< of a hold's answer past its wait
-constexpr milliseconds RenewBefore{550};   ///< of the lease's end
+constexpr milliseconds HoldMargin{200};  ///< of a hold's answer past its wait
+constexpr milliseconds RenewBefore{550}; ///< of the lease's end
+constexpr milliseconds ListTimeout{90};
+constexpr milliseconds ListSpacing{20};
+/// An end that isn't heard of by then is asked for.
+constexpr double ProbeFactor = 1.5; ///< of the expected run time
+constexpr milliseconds ProbeMargin{15};
 constexpr milliseconds RetryHoldAfter{60}; ///< an unanswered or refused hold
 constexpr milliseconds MaxHoldBackoff{1'000};
 constexpr std::uint32_t MutedAfter = 2; ///< unanswered calls in a row
@@ -33,7 +38,7 @@
 constexpr milliseconds TargetClockSlack{60};
 
 // Custody of targets.
-constexpr milliseconds SettleTime{400}; ///< from the first view to dealing
+constexpr milliseconds SettleTime{80}; ///< from the first view to dealing
 constexpr milliseconds DealInterval{100};
 constexpr milliseconds LostBackoff{3'000}; ///< after another host took over
 constexpr milliseconds HostSilence{900};   ///< then its targets are taken over
@@ -75,7 +80,8 @@
 constexpr double LongestTaskFactor = 1.15;
 /// What is expected may be off by this factor before a job is given up.
 constexpr double UselessMargin = 1.6;
-constexpr double OverdueFactor = 1.8; ///< of the expected run time
+constexpr milliseconds SpeedTrustedFor{1'000}; ///< after its last measure
+constexpr double OverdueFactor = 1.8;          ///< of the expected run time
 
 // Admission and queues.
 constexpr std::uint32_t MaxOfferRounds = 4; ///< refusals by owners of one task
@@ -85,6 +91,8 @@
 constexpr milliseconds ForeignTrip{5}; ///< to a host of another domain and back
 constexpr double LateFactor = 3;       ///< past it an answer has no use
 constexpr double RefuseFactor = 1.1;   ///< of the objective, by predicted end
+/// A job may wait for a first owner of targets for its objective over this.
+constexpr int ParkedPart = 2;
 constexpr milliseconds MinRetryAfter{1'000};
 constexpr milliseconds MaxRetryAfter{3'000};
 
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -155,6 +155,18 @@
   Coordinator.Jobs.erase(Found);
 }
 
+void logDone(const step &Step, const open_job &Job) {
+  const auto Age =
+      std::chrono::duration_cast<milliseconds>(Step.Now - Job.PostedAt);
+  Step.log("job_done",
+           {{"job", Job.Id},
+            {"route", Job.Route.Name},
+            {"tasks", std::to_string(Job.Tasks.size())},
+            {"age_ms", describe(Age)},
+            {"predicted_ms", describe(Job.PredictedEnd)},
+            {"objective_ms", describe(until(Job.EndBy, Job.PostedAt))}});
+}
+
 void failJob(step &Step, const std::string &Id, answer_kind Kind,
              std::string_view Reason, const std::string &Detail = "") {
   const open_job &Job = Step.State.Coordinator.Jobs.find(Id)->second;
@@ -262,6 +274,7 @@
           ? std::min(Posted.TimeLimit, config::MaxTimeLimit)
           : config::DefaultTimeLimit;
   Job.EndBy = Step.Now + Objective;
+  Job.ParkedUntil = Step.Now + Objective / config::ParkedPart;
   Job.UselessAt =
       Step.Now + std::min(Limit, std::chrono::duration_cast<milliseconds>(
                                      config::UselessMargin *
@@ -269,17 +282,31 @@
   return Job;
 }
 
-/// Places all tasks of a new job, or refuses it whole.
-void placeJob(step &Step, open_job &&NewJob) {
-  pool_state &State = Step.State;
-  const std::string Id = NewJob.Id;
-  for (const request_handle Request : NewJob.Requests) {
-    State.Coordinator.JobOf[static_cast<std::uint64_t>(Request)] = Id;
+/// @returns whether owners of targets are still being found, after a start or
+/// when all were lost
+bool isRecovering(const pool_view &View) {
+  return std::none_of(View.Owners.begin(), View.Owners.end(),
+                      [](const owner_view &Owner) { return Owner.Slots > 0; });
+}
+
+open_job &keepJob(pool_state &State, open_job &&Job) {
+  for (const request_handle Request : Job.Requests) {
+    State.Coordinator.JobOf[static_cast<std::uint64_t>(Request)] = Job.Id;
   }
-  open_job &Job =
-      State.Coordinator.Jobs.emplace(Id, std::move(NewJob)).first->second;
+  const std::string Id = Job.Id;
+  return State.Coordinator.Jobs.emplace(Id, std::move(Job)).first->second;
+}
+
+/// Places all tasks of a job that hasn't begun, or refuses it whole.
+void placeJob(step &Step, open_job &Job) {
+  pool_state &State = Step.State;
+  const std::string Id = Job.Id;
   pool_view View = viewPool(State, Step.Now);
   const milliseconds Objective = until(Job.EndBy, Step.Now);
+  Job.IsParked = isRecovering(View) && Job.ParkedUntil > Step.Now;
+  if (Job.IsParked) {
+    return;
+  }
   std::vector<placing> Placings;
   milliseconds End{0};
   bool MustWait = false;
@@ -307,6 +334,7 @@
               retryAfter(Id, End - Objective));
     return;
   }
+  Job.PredictedEnd = End;
   offers Offers;
   for (std::size_t Index = 0; Index < Job.Tasks.size(); ++Index) {
     addToOffer(Step, Job, Job.Tasks[Index], View, Placings[Index], Offers);
@@ -383,7 +411,8 @@
   for (const job_step &Described : Posted.Job.Steps) {
     Coordinator.RunTimes.learn(Route->Name, Described.Estimated);
   }
-  placeJob(Step, makeJob(Step, *Route, std::move(Id), std::move(Posted)));
+  placeJob(Step, keepJob(State, makeJob(Step, *Route, std::move(Id),
+                                        std::move(Posted))));
 }
 
 void askJob(step &Step, const job_asked &Asked) {
@@ -465,6 +494,7 @@
         [](const job_task &Other) { return Other.Phase == task_phase::Done; });
     if (IsDone) {
       Step.count(counter::JobsDone);
+      logDone(Step, Job);
       finishJob(Step, Ended.Attempt.Job, answer_kind::JobDone);
     }
     return;
@@ -501,6 +531,15 @@
 
 void reviewJobs(step &Step) {
   pool_state &State = Step.State;
+  std::vector<std::string> Parked;
+  for (const auto &[Id, Job] : State.Coordinator.Jobs) {
+    if (Job.IsParked) {
+      Parked.push_back(Id);
+    }
+  }
+  for (const std::string &Id : Parked) {
+    placeJob(Step, State.Coordinator.Jobs.find(Id)->second);
+  }
   std::vector<std::pair<std::string, std::string_view>> Ended;
   for (const auto &[Id, Job] : State.Coordinator.Jobs) {
     if (Job.UselessAt <= Step.Now) {
--- a/src/core/pool/custody.cpp
+++ b/src/core/pool/custody.cpp
@@ -41,6 +41,7 @@
     Attempt.Phase =
         Handed.IsConfirmed ? attempt_phase::Running : attempt_phase::Doubted;
     Attempt.DoubtedAt = Context.Now;
+    Attempt.ProbeAt = Context.Now + Handed.Expected;
     Attempts.emplace(Handed.Attempt, std::move(Attempt));
   }
   // The owner before may have renewed the lease just now.
@@ -75,7 +76,8 @@
   }
 }
 
-void custody::start(queued_task Task, custody_context &Context) {
+void custody::start(queued_task Task, milliseconds ProbeAfter,
+                    custody_context &Context) {
   const attempt_ref Ref = Task.Attempt;
   const std::optional<milliseconds> Deadline = deadline(Context);
   Context.Effects.emplace_back(
@@ -87,6 +89,7 @@
   Attempt.Task = std::move(Task);
   Attempt.Token = Token;
   Attempt.StartedAt = Context.Now;
+  Attempt.ProbeAt = Context.Now + ProbeAfter;
   Attempts.insert_or_assign(Ref, std::move(Attempt));
   Context.Counters.add(counter::AttemptsStarted);
 }
@@ -134,7 +137,7 @@
     return;
   case order_outcome::NoAnswer:
     Context.Counters.add(counter::StartsUnanswered);
-    noteUnanswered(Context);
+    noteUnanswered(Attempt.StartedAt, Context);
     doubt(Attempt, Context);
     return;
   case order_outcome::OldRun:
@@ -149,7 +152,7 @@
     return;
   case order_outcome::Unhealthy:
   case order_outcome::NotSent:
-    noteUnanswered(Context);
+    noteUnanswered(Attempt.StartedAt, Context);
     [[fallthrough]];
   case order_outcome::TooLate:
   case order_outcome::NoRoom:
@@ -196,11 +199,11 @@
     return;
   case order_outcome::OtherIncarnation:
     IsGone = true;
-    noteUnanswered(Context);
+    noteUnanswered(Call.SentAt, Context);
     return;
   default:
     Context.Counters.add(counter::HoldsUnanswered);
-    noteUnanswered(Context);
+    noteUnanswered(Call.SentAt, Context);
     return;
   }
   if (Answer.Incarnation != 0 && Answer.Incarnation != Record.Incarnation) {
@@ -284,8 +287,10 @@
   const boot_time Now = Context.Now;
   for (auto Call = Holds.begin(); Call != Holds.end();) {
     if (Call->second.GiveUpAt <= Now) {
+      const boot_time SentAt = Call->second.SentAt;
       Call = Holds.erase(Call);
-      noteUnanswered(Context);
+      Context.Counters.add(counter::HoldsUnanswered);
+      noteUnanswered(SentAt, Context);
     } else {
       ++Call;
     }
@@ -329,7 +334,19 @@
 
 boot_time custody::listDueAt() const {
   const boot_time Due = std::max(ListDueAt, QuietUntil);
-  return needsList() ? Due : std::max(Due, LeaseUntil - config::RenewBefore);
+  if (needsList()) {
+    return Due;
+  }
+  return std::max(Due,
+                  std::min(LeaseUntil - config::RenewBefore, probeDueAt()));
+}
+
+boot_time custody::probeDueAt() const {
+  boot_time Due = boot_time::max();
+  for (const auto &[Ref, Attempt] : Attempts) {
+    Due = std::min(Due, Attempt.ProbeAt);
+  }
+  return Due;
 }
 
 bool custody::wantsWaitingHold() const {
@@ -352,7 +369,9 @@
 void custody::sendHold(milliseconds Wait, custody_context &Context) {
   hold_call Call;
   Call.SentAt = Context.Now;
-  Call.GiveUpAt = Context.Now + Wait + config::HoldMargin;
+  Call.GiveUpAt =
+      Context.Now + Wait +
+      (Wait == milliseconds(0) ? config::ListTimeout : config::HoldMargin);
   Call.Token = Token;
   Call.LastEnd = LastEnd;
   Call.IsList = Wait == milliseconds(0);
@@ -367,8 +386,17 @@
   NewConnection = false;
   Holds.emplace(Number, Call);
   Context.Counters.add(counter::HoldsSent);
-  if (Call.IsList) {
-    ListDueAt = Context.Now + config::RetryHoldAfter;
+  if (!Call.IsList) {
+    return;
+  }
+  ListDueAt = Context.Now + config::ListSpacing;
+  for (auto &[Ref, Attempt] : Attempts) {
+    if (Attempt.ProbeAt <= Context.Now) {
+      // Ask ever more rarely for one that takes its time.
+      Attempt.ProbeAt =
+          Context.Now + std::max<microseconds>(Context.Now - Attempt.StartedAt,
+                                               config::ListSpacing);
+    }
   }
 }
 
@@ -414,8 +442,9 @@
   ListDueAt = std::min(ListDueAt, Context.Now);
 }
 
-void custody::noteUnanswered(custody_context &Context) {
+void custody::noteUnanswered(boot_time SentAt, custody_context &Context) {
   ++Unanswered;
+  UnansweredAt = std::max(UnansweredAt, SentAt);
   NewConnection = true;
   HoldBackoff = std::min<milliseconds>(
       std::max<milliseconds>(2 * HoldBackoff, config::RetryHoldAfter),
@@ -474,9 +503,10 @@
     return;
   }
   owned_attempt &Attempt = Found->second;
+  const bool IsTimed = UnansweredAt < Attempt.StartedAt;
   Ended.push_back({std::move(Attempt.Task), End,
                    elapsed(Attempt.StartedAt, Context.Now),
-                   CanRequeue && !Attempt.IsStopWanted});
+                   CanRequeue && !Attempt.IsStopWanted, IsTimed});
   Attempts.erase(Found);
 }
 
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -39,6 +39,7 @@
   boot_time StartedAt;
   boot_time ConfirmedAt;
   boot_time DoubtedAt;
+  boot_time ProbeAt;           ///< its end should have been heard of by then
   bool NeedsHigherRun = false; ///< an earlier submission's run ended there
   bool IsStopWanted = false;
   boot_time StopDueAt;
@@ -51,6 +52,7 @@
   attempt_end End = attempt_end::Done;
   milliseconds Ran{};
   bool CanRequeue = false; ///< never ran, and may be started again as it is
+  bool IsTimed = false;    ///< Ran is right: the end was heard of at once
 };
 
 enum class custody_phase : std::uint8_t {
@@ -84,7 +86,9 @@
   /// The platform doesn't list the target any more.
   void setGone() { IsGone = true; }
 
-  void start(queued_task Task, custody_context &Context);
+  /// @param[in] ProbeAfter when to ask for it if its end wasn't heard of
+  void start(queued_task Task, milliseconds ProbeAfter,
+             custody_context &Context);
   /// Stops an attempt, until a list shows its end.
   void stop(const attempt_ref &Attempt, std::string_view Reason,
             custody_context &Context);
@@ -110,6 +114,8 @@
   /// @returns whether new attempts may be started
   bool isUsable() const;
   bool isMute() const;
+  /// @returns whether the target has answered all calls since a time
+  bool hasAnsweredSince(boot_time Time) const { return UnansweredAt < Time; }
   /// @returns whether custody has nothing left to do
   bool isFinished() const;
   std::uint64_t token() const { return Token; }
@@ -136,12 +142,13 @@
   void takeEnds(const hold_answered &Answer, custody_context &Context);
   void takeList(const hold_answered &Answer, const hold_call &Call,
                 custody_context &Context);
-  void noteUnanswered(custody_context &Context);
+  void noteUnanswered(boot_time SentAt, custody_context &Context);
   void sendStop(owned_attempt &Attempt, custody_context &Context);
   void sendHold(milliseconds Wait, custody_context &Context);
   bool needsList() const;
   bool wantsList() const;
   boot_time listDueAt() const;
+  boot_time probeDueAt() const;
   bool wantsWaitingHold() const;
   bool hasListUnderway() const;
   bool hasWaitingHold() const;
@@ -161,8 +168,9 @@
   boot_time QuietUntil;           ///< no hold before, after one unanswered
   boot_time ListNeededSince;
   milliseconds HoldBackoff{};
-  std::uint32_t Unanswered = 0;      ///< calls in a row
-  bool NewConnection = false;        ///< for the next calls
+  std::uint32_t Unanswered = 0; ///< calls in a row
+  boot_time UnansweredAt;       ///< the latest call without an answer was sent
+  bool NewConnection = false;   ///< for the next calls
   std::optional<milliseconds> Clock; ///< of the target, at ClockAt
   boot_time ClockAt;
   boot_time LeaseUntil;    ///< by the latest deadline sent, at the earliest
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -21,6 +21,15 @@
   return Task.EndBy - Task.Expected;
 }
 
+/// @returns when an attempt is expected to end, from now
+milliseconds remainingTime(const owned_attempt &Attempt, double Speed,
+                           boot_time Now) {
+  // An overdue attempt is expected to take this part of its time more.
+  constexpr std::int64_t OverduePart = 4;
+  const milliseconds Run = runTime(Attempt.Task.Expected, Speed);
+  return std::max(until(Attempt.StartedAt, Now) + Run, Run / OverduePart);
+}
+
 void enqueue(owner_state &Owner, queued_task Task) {
   const auto Place =
       std::upper_bound(Owner.Queue.begin(), Owner.Queue.end(), Task,
@@ -93,6 +102,34 @@
   return View;
 }
 
+/// @returns when each attempt's room is expected to be free
+std::vector<busy_target> busyTargets(const pool_state &State, boot_time Now) {
+  std::vector<busy_target> Busy;
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    if (!Custody.isUsable()) {
+      continue;
+    }
+    const double Speed = speedOf(State, Id);
+    for (const auto &[Ref, Attempt] : Custody.attempts()) {
+      Busy.push_back({remainingTime(Attempt, Speed, Now), Speed});
+    }
+  }
+  return Busy;
+}
+
+/// Puts the tasks that can't be in time any more behind those that can.
+void sortByHope(std::vector<queued_task> &Queue, const pool_view &View,
+                boot_time Now) {
+  double Fastest = config::MinSpeed;
+  for (const room_view &Room : View.Rooms) {
+    Fastest = std::max(Fastest, Room.Speed);
+  }
+  std::stable_partition(
+      Queue.begin(), Queue.end(), [&](const queued_task &Task) {
+        return Now + runTime(Task.Expected, Fastest) <= Task.EndBy;
+      });
+}
+
 /// Starts queued tasks as far as there is room, the most urgent first.
 void startQueued(step &Step) {
   owner_state &Owner = Step.State.Owner;
@@ -101,6 +138,8 @@
   }
   custody_context Context = Step.custodyContext();
   pool_view View = ownRoom(Step.State);
+  std::vector<busy_target> Busy = busyTargets(Step.State, Step.Now);
+  sortByHope(Owner.Queue, View, Step.Now);
   std::vector<queued_task> Kept;
   std::size_t Scanned = 0;
   for (queued_task &Task : Owner.Queue) {
@@ -113,16 +152,26 @@
       continue;
     }
     const auto Placing =
-        placeTask(View, {Task.Service, Task.Needs, Task.Expected,
-                         until(Task.EndBy, Step.Now), Task.AvoidTarget});
+        placeQueued(View, Busy,
+                    {Task.Service, Task.Needs, Task.Expected,
+                     until(Task.EndBy, Step.Now), Task.AvoidTarget});
     if (!Placing) {
       Kept.push_back(std::move(Task));
       continue;
     }
     Owner.RoomChanged = true;
+    const milliseconds ProbeAfter =
+        config::ProbeMargin +
+        std::chrono::duration_cast<milliseconds>(
+            config::ProbeFactor *
+            runTime(Task.Expected, speedOf(Step.State, Placing->Target)));
     Owner.Custodies.find(Placing->Target)
-        ->second.start(std::move(Task), Context);
+        ->second.start(std::move(Task), ProbeAfter, Context);
   }
+  std::stable_sort(Kept.begin(), Kept.end(),
+                   [](const queued_task &A, const queued_task &B) {
+                     return urgencyOf(A) < urgencyOf(B);
+                   });
   Owner.Queue = std::move(Kept);
 }
 
@@ -157,10 +206,11 @@
   pool_state &State = Step.State;
   State.Owner.RoomChanged = true;
   Step.count(counterOf(Ended.End));
-  if (Ended.End == attempt_end::Done) {
+  if (Ended.End == attempt_end::Done && Ended.IsTimed) {
     const auto Listed = State.Targets.find(Target);
     if (Listed != State.Targets.end()) {
       Listed->second.Speed.learn(Ended.Task.Expected, Ended.Ran);
+      Listed->second.LearntAt = Step.Now;
     }
   }
   if (Ended.CanRequeue && Ended.Task.Specification) {
@@ -183,11 +233,14 @@
     const milliseconds Age =
         std::chrono::duration_cast<milliseconds>(Step.Now - Attempt.StartedAt);
     const milliseconds Expected = runTime(Attempt.Task.Expected, Speed.speed());
-    if (Age > std::chrono::duration_cast<milliseconds>(config::OverdueFactor *
+    if (Attempt.Phase == attempt_phase::Running &&
+        Custody.hasAnsweredSince(Attempt.StartedAt) &&
+        Age > std::chrono::duration_cast<milliseconds>(config::OverdueFactor *
                                                        Expected)) {
       Speed.learnOverdue(std::chrono::duration_cast<milliseconds>(
                              config::OverdueFactor * Attempt.Task.Expected),
                          Age);
+      Listed->second.LearntAt = Step.Now;
     }
   }
 }
@@ -228,8 +281,6 @@
   if (Slots == 0) {
     return milliseconds(0);
   }
-  // Overdue attempts are expected to take this part of their time more.
-  constexpr std::int64_t OverduePart = 4;
   std::priority_queue<milliseconds, std::vector<milliseconds>, std::greater<>>
       FreeIn;
   for (const auto &[Id, Custody] : State.Owner.Custodies) {
@@ -238,9 +289,7 @@
       if (FreeIn.size() >= Slots) {
         break;
       }
-      const milliseconds Run = runTime(Attempt.Task.Expected, Speed);
-      FreeIn.push(
-          std::max(until(Attempt.StartedAt, Now) + Run, Run / OverduePart));
+      FreeIn.push(remainingTime(Attempt, Speed, Now));
     }
   }
   while (FreeIn.size() < Slots) {
@@ -352,6 +401,14 @@
   for (const auto &[Kind, Sum] : Sums) {
     State.KindSpeeds[Kind] = Sum.first / static_cast<double>(Sum.second);
   }
+  // What was slow and is avoided would otherwise stay slow for ever.
+  for (auto &[Id, Listed] : State.Targets) {
+    const auto Kind = State.KindSpeeds.find(Listed.Record.Kind);
+    if (Kind != State.KindSpeeds.end() &&
+        Listed.LearntAt + config::SpeedTrustedFor < Step.Now) {
+      Listed.Speed.drawTo(Kind->second);
+    }
+  }
 }
 
 void stopOrphans(step &Step) {
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -15,6 +15,7 @@
 peer_host &renewPeer(step &Step, const member_record &Member) {
   peer_host Peer;
   Peer.Member = Member;
+  Step.State.Owner.RoomChanged = true; // the new one has to hear of this host
   Peer.KnownSince = Step.Now;
   Peer.Link = peer_link(
       static_cast<std::uint64_t>(Step.Now.time_since_epoch().count()));
--- a/src/core/pool/placing.cpp
+++ b/src/core/pool/placing.cpp
@@ -54,6 +54,13 @@
   return Best;
 }
 
+placing take(pool_view &View, const free_target &Free,
+             const placing_request &Request) {
+  room_view &Room = View.Rooms[Free.Room];
+  Room.Free -= Request.Needs;
+  return {Room.Owner, Room.Target, Free.End, Free.IsInTime};
+}
+
 std::optional<std::size_t> shortestQueue(const pool_view &View) {
   std::optional<std::size_t> Best;
   for (std::size_t Index = 0; Index < View.Owners.size(); ++Index) {
@@ -75,20 +82,44 @@
 
 std::optional<placing> placeTask(pool_view &View,
                                  const placing_request &Request) {
-  if (const auto Free = bestFree(View, Request)) {
-    room_view &Room = View.Rooms[Free->Room];
-    Room.Free -= Request.Needs;
-    return placing{Room.Owner, Room.Target, Free->End};
+  const auto Free = bestFree(View, Request);
+  if (Free && Free->IsInTime) {
+    return take(View, *Free, Request);
   }
   const std::optional<std::size_t> Queue = shortestQueue(View);
   if (!Queue) {
-    return std::nullopt;
+    return Free ? std::optional(take(View, *Free, Request)) : std::nullopt;
   }
   owner_view &Owner = View.Owners[*Queue];
   const milliseconds Run = runTime(Request.Expected, Owner.MeanSpeed);
-  const placing Placing{*Queue, "", Owner.Trip + Owner.Wait + Run};
+  const milliseconds End = Owner.Trip + Owner.Wait + Run;
+  if (Free && Free->End <= End) {
+    return take(View, *Free, Request);
+  }
   Owner.Wait += Run / Owner.Slots;
-  return Placing;
+  return placing{*Queue, "", End, End <= Request.EndBy};
+}
+
+std::optional<placing> placeQueued(pool_view &View,
+                                   std::vector<busy_target> &Busy,
+                                   const placing_request &Request) {
+  const auto Free = bestFree(View, Request);
+  if (!Free || Free->IsInTime) {
+    return Free ? std::optional(take(View, *Free, Request)) : std::nullopt;
+  }
+  const auto EndOn = [&](const busy_target &Target) {
+    return Target.FreeIn + runTime(Request.Expected, Target.Speed);
+  };
+  const auto Soonest =
+      std::min_element(Busy.begin(), Busy.end(),
+                       [&](const busy_target &A, const busy_target &B) {
+                         return EndOn(A) < EndOn(B);
+                       });
+  if (Soonest != Busy.end() && EndOn(*Soonest) < Free->End) {
+    Soonest->FreeIn = EndOn(*Soonest);
+    return std::nullopt;
+  }
+  return take(View, *Free, Request);
 }
 
 } // namespace tarragonbridge::pool
--- a/src/core/pool/placing_p.h
+++ b/src/core/pool/placing_p.h
@@ -43,8 +43,15 @@
 
 struct placing {
   std::size_t Owner = 0;
-  std::string Target; ///< empty: to be queued at the owner
-  milliseconds End{}; ///< predicted, from now
+  std::string Target;    ///< empty: to be queued at the owner
+  milliseconds End{};    ///< predicted, from now
+  bool IsInTime = false; ///< within the objective, with a margin
+};
+
+/// A target without room, and when some of it is expected to be free.
+struct busy_target {
+  milliseconds FreeIn{};
+  double Speed = 1;
 };
 
 /// Chooses where a task goes and takes the room from the view.
@@ -57,6 +64,17 @@
 std::optional<placing> placeTask(pool_view &View,
                                  const placing_request &Request);
 
+/// Chooses a free target for a queued task.
+///
+/// A task that would be late on every free target waits for a faster one that
+/// ends it sooner, and keeps that one from those behind it in the queue.
+///
+/// @param[in,out] Busy the owner's other targets
+/// @returns nothing when the task is to stay in the queue
+std::optional<placing> placeQueued(pool_view &View,
+                                   std::vector<busy_target> &Busy,
+                                   const placing_request &Request);
+
 /// @returns the run time on a target of a speed
 milliseconds runTime(milliseconds Expected, double Speed);
 
--- a/src/core/pool/speeds.cpp
+++ b/src/core/pool/speeds.cpp
@@ -50,6 +50,13 @@
   Weight = std::max(Weight, config::SpeedMemory / 2);
 }
 
+void speed_estimate::drawTo(double KindSpeed) {
+  constexpr double Part = 0.05; // of the distance, each time
+  if (isKnown()) {
+    LogMean += Part * (std::log(KindSpeed) - LogMean);
+  }
+}
+
 milliseconds run_time_scale::expected(const std::string &Route,
                                       milliseconds Estimated) const {
   const auto Found = Routes.find(Route);
--- a/src/core/pool/speeds_p.h
+++ b/src/core/pool/speeds_p.h
@@ -18,6 +18,8 @@
   void learnOverdue(milliseconds Expected, milliseconds Age);
   /// Takes what an earlier owner has learnt.
   void assume(double Speed);
+  /// Draws a speed that wasn't measured lately towards its kind's.
+  void drawTo(double KindSpeed);
   /// @returns whether anything was learnt
   bool isKnown() const { return Weight > 0; }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -48,6 +48,7 @@
   boot_time NotBefore; ///< no take-over before, after another host took it
   std::optional<boot_time> MissingSince; ///< in the platform's list
   speed_estimate Speed;
+  boot_time LearntAt; ///< when the speed was last measured
 };
 
 /// Module owner.
@@ -81,8 +82,11 @@
   std::string Specification;
   std::vector<job_task> Tasks;
   boot_time PostedAt;
-  boot_time EndBy;     ///< the end of the latency objective
-  boot_time UselessAt; ///< given up then
+  boot_time EndBy;             ///< the end of the latency objective
+  boot_time UselessAt;         ///< given up then
+  boot_time ParkedUntil;       ///< refused then if no target has an owner
+  milliseconds PredictedEnd{}; ///< when it was placed, from its posting
+  bool IsParked = false;       ///< waits until any target has an owner
   bool MayHaveRun = false;
 };
 
