Emulate the platform with real processes: store, targets, callers, rules; call MHD when it has work left

Cause, found by the emulator's scenarios: libmicrohttpd reads ahead on edge-triggered sockets; data that it has read already raises no event, so a request could wait until the next one. Change: MHD_get_timeout is asked after each run.

--- a/src/poolhost/http_entry.cpp
+++ b/src/poolhost/http_entry.cpp
@@ -1,5 +1,6 @@
 #include "poolhost/http_entry.h"
 
+#include "base/clock.h"
 #include "net/address.h"
 
 #include <microhttpd.h>
@@ -40,6 +41,12 @@
   return Value == nullptr ? "" : Value;
 }
 
+MHD_Result collectQuery(void *Cls, MHD_ValueKind /*Kind*/, const char *Key,
+                        const char *Value) {
+  static_cast<entry_request *>(Cls)->Query[Key] = Value == nullptr ? "" : Value;
+  return MHD_YES;
+}
+
 MHD_Result queueResponse(MHD_Connection *Connection,
                          const entry_response &Response) {
   MHD_Response *Raw = MHD_create_response_from_buffer(
@@ -66,7 +73,9 @@
   std::unordered_map<std::uint64_t, exchange *> Open;
   std::uint64_t Malformed = 0;
   bool NeedsRun = false;
+  boot_time DueAt = boot_time::max();
 
+  void run();
   MHD_Result onData(MHD_Connection *Connection, const char *Path,
                     const char *Method, const char *Data, std::size_t *Size,
                     void **Context);
@@ -78,6 +87,19 @@
   int epollFd() const;
 };
 
+void http_entry::impl::run() {
+  NeedsRun = false;
+  MHD_run(Daemon);
+  // Data that was read already raises no event: the library has to be asked.
+  MHD_UNSIGNED_LONG_LONG TimeoutMs = 0;
+  if (MHD_get_timeout(Daemon, &TimeoutMs) != MHD_YES) {
+    DueAt = boot_time::max();
+    return;
+  }
+  NeedsRun = NeedsRun || TimeoutMs == 0;
+  DueAt = bootNow() + milliseconds(TimeoutMs);
+}
+
 MHD_Result http_entry::impl::onData(MHD_Connection *Connection,
                                     const char *Path, const char *Method,
                                     const char *Data, std::size_t *Size,
@@ -125,6 +147,8 @@
   Request.HostName = Request.HostName.substr(0, Request.HostName.find(':'));
   Request.TimeLimit =
       headerOf(Exchange.Connection, Init.TimeLimitHeader.c_str());
+  MHD_get_connection_values(Exchange.Connection, MHD_GET_ARGUMENT_KIND,
+                            collectQuery, &Request);
   OnRequest(Exchange.Handle, std::move(Request));
 }
 
@@ -183,7 +207,15 @@
 }
 
 http_entry::http_entry(epoll_loop &Loop, entry_init Init)
-    : Impl(new impl{Loop, std::move(Init), {}, {}, nullptr, {}, 0, false}) {}
+    : Impl(new impl{Loop,
+                    std::move(Init),
+                    {},
+                    {},
+                    nullptr,
+                    {},
+                    0,
+                    false,
+                    boot_time::max()}) {}
 
 http_entry::~http_entry() {
   if (Impl->Daemon == nullptr) {
@@ -228,7 +260,7 @@
         MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(Impl->Init.IdleTimeout.count()),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_OPTION_END);
   }
   if (Impl->Daemon == nullptr) {
     return boost::leaf::new_error(error{"listen", Impl->Init.Listen,
@@ -236,7 +268,7 @@
                                         "the address can't be listened on"});
   }
   Impl->Loop.watch(Impl->epollFd(), EPOLLIN,
-                   [this](std::uint32_t) { MHD_run(Impl->Daemon); });
+                   [this](std::uint32_t) { Impl->run(); });
   return {};
 }
 
@@ -256,13 +288,18 @@
   return true;
 }
 
-void http_entry::flush() {
-  if (Impl->NeedsRun) {
-    Impl->NeedsRun = false;
-    MHD_run(Impl->Daemon);
+void http_entry::flush(boot_time Now) {
+  constexpr int MaxRounds = 8; // the loop's other work must have its turn
+  for (int Round = 0;
+       Round < MaxRounds && (Impl->NeedsRun || Impl->DueAt <= Now); ++Round) {
+    Impl->run();
   }
 }
 
+boot_time http_entry::nextDue() const {
+  return Impl->NeedsRun ? boot_time{} : Impl->DueAt;
+}
+
 void http_entry::stopAccepting() {
   const MHD_socket Listener = MHD_quiesce_daemon(Impl->Daemon);
   if (Listener != MHD_INVALID_SOCKET) {
--- a/src/poolhost/http_entry.h
+++ b/src/poolhost/http_entry.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,6 +23,13 @@
   std::string HostName; ///< of the Host header, without a port
   std::string Body;
   std::string TimeLimit; ///< value of the caller's header, may be empty
+  std::map<std::string, std::string, std::less<>> Query;
+
+  /// @returns a query argument, empty if absent
+  std::string query(std::string_view Name) const {
+    const auto Found = Query.find(Name);
+    return Found == Query.end() ? "" : Found->second;
+  }
 };
 
 struct entry_response {
@@ -54,8 +62,10 @@
   result<void> start(request_handler OnRequest, left_handler OnLeft);
   /// Answers a request. @returns false when it isn't one of this server
   bool respond(request_handle Request, entry_response Response);
-  /// Sends what was answered since the last call.
-  void flush();
+  /// Sends what was answered since the last call, and does what is due.
+  void flush(boot_time Now);
+  /// @returns when flush is to be called at the latest
+  boot_time nextDue() const;
   /// Stops taking new connections; those that are open go on.
   void stopAccepting();
   std::size_t openRequests() const;
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -100,7 +100,9 @@
 void program::run() {
   while (!IsFinished) {
     const boot_time Due =
-        std::min({pool::nextTimer(*Host), Calls.nextDue(), Store.nextDue()});
+        std::min({pool::nextTimer(*Host), Calls.nextDue(), Store.nextDue(),
+                  Callers.nextDue(), Readiness.nextDue(),
+                  Metrics ? Metrics->nextDue() : boot_time::max()});
     Loop.runOnce(Due);
     Calls.onTimer();
     Calls.completeCalls();
@@ -109,10 +111,10 @@
     if (pool::nextTimer(*Host) <= Now) {
       post(pool::timer_fired{});
     }
-    Callers.flush();
-    Readiness.flush();
+    Callers.flush(Now);
+    Readiness.flush(Now);
     if (Metrics) {
-      Metrics->flush();
+      Metrics->flush(Now);
     }
   }
   logEvent("ended", {{"host", Settings.Host}});
--- /dev/null
+++ b/tools/emulator/target_server.h
@@ -0,0 +1,76 @@
+/// The platform's targets over HTTP, with faults to order.
+#pragma once
+
+#include "emulator/schedule.h"
+#include "emulator/store_server.h"
+#include "emulator/target_model.h"
+#include "poolhost/http_entry.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace tarragonbridge::emulator {
+
+struct target_faults {
+  double LateOrders = 0; ///< part that gets no answer and is carried out late
+  bool IsMute = false;   ///< no call gets an answer or does anything
+};
+
+/// One target: its model, its server and its entry in the store.
+class target_server {
+public:
+  using profile_lookup = std::function<task_profile(const attempt_ref &)>;
+
+  target_server(poolhost::epoll_loop &Loop, schedule &Schedule,
+                store_server &Store, target_model_init Init,
+                std::string Address, target_model::recorder Record,
+                profile_lookup Profiles, std::uint64_t Seed);
+
+  result<void> start();
+  void onTimer(boot_time Now);
+  boot_time nextDue() const;
+  void flush(boot_time Now) { Entry.flush(Now); }
+  /// Writes the target's entry in the store.
+  void report(boot_time Now);
+  /// Takes the entry out of the store.
+  void leave();
+  void crash(boot_time Now);
+
+  void setDraining() { IsDraining = true; }
+  target_faults &faults() { return Faults; }
+  target_model &model() { return Model; }
+
+private:
+  struct waiting_hold {
+    request_handle Request;
+    std::uint64_t Token = 0;
+    std::uint64_t LastEnd = 0;
+    boot_time Until;
+  };
+
+  void take(request_handle Request, poolhost::entry_request &&Received);
+  void takeStart(request_handle Request, const Json::Value &Body);
+  void takeStop(request_handle Request, const Json::Value &Body);
+  void takeHold(request_handle Request, const Json::Value &Body);
+  bool answerHold(const waiting_hold &Hold,
+                  std::optional<milliseconds> Deadline, boot_time Now);
+  void respond(request_handle Request, order_outcome Outcome);
+  bool isLate();
+
+  schedule &Schedule;
+  store_server &Store;
+  std::string Address;
+  poolhost::http_entry Entry;
+  target_model Model;
+  profile_lookup Profiles;
+  std::mt19937_64 Random;
+  target_faults Faults;
+  bool IsDraining = false;
+  std::uint64_t Sequence = 0;
+  std::vector<waiting_hold> Holds;
+};
+
+} // namespace tarragonbridge::emulator
--- a/tools/scenario_runner/bindings.cpp
+++ b/tools/scenario_runner/bindings.cpp
@@ -46,11 +46,12 @@
   return 1;
 }
 
-/// signal(process, "KILL" | "STOP" | "CONT" | "TERM") -> whether it was sent
+/// signal(process, "KILL" | "STOP" | "CONT" | "TERM" | "HUP") -> whether it was
+/// sent
 int signalProcess(lua_State *Lua) {
-  constexpr std::array<const char *, 5> Names{"KILL", "STOP", "CONT", "TERM",
-                                              nullptr};
-  constexpr std::array Signals{SIGKILL, SIGSTOP, SIGCONT, SIGTERM};
+  constexpr std::array<const char *, 6> Names{"KILL", "STOP", "CONT",
+                                              "TERM", "HUP",  nullptr};
+  constexpr std::array Signals{SIGKILL, SIGSTOP, SIGCONT, SIGTERM, SIGHUP};
   const auto Process = static_cast<pid_t>(luaL_checkinteger(Lua, 1));
   const int Which = luaL_checkoption(Lua, 2, nullptr, Names.data());
   const int Signal = Signals.at(static_cast<std::size_t>(Which));
