--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -8,12 +8,22 @@
 
 namespace tarragonbridge::pool {
 
+/// Rules of custody; a test takes one out to show what it prevents.
+struct custody_rules {
+  bool RaiseTokenInDoubt = true;   ///< so that a late start does nothing
+  bool StopUnknown = true;         ///< what runs and isn't known is stopped
+  bool StandBackWhenFenced = true; ///< a refused holder starts nothing more
+  bool WaitForLease = true;        ///< silence proves an end only after it
+  bool StopOrphans = true; ///< tasks of silent coordinators are stopped
+};
+
 struct pool_init {
   std::string Name;
   std::string FailureDomain;
   std::uint64_t Incarnation = 0; ///< drawn at start, never 0
   std::uint64_t RandomSeed = 1;
   milliseconds LeaseTime{1'000}; ///< the longest that targets grant
+  custody_rules Rules{};         ///< all on but in tests
 };
 
 /// State of a pool host; its fields are internal.
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -16,13 +16,6 @@
 
 namespace tarragonbridge::pool {
 
-/// Rules of custody; a test takes one out to show what it prevents.
-struct custody_rules {
-  bool RaiseTokenInDoubt = true; ///< so that a late start does nothing
-  bool StopUnknown = true;       ///< what runs and isn't known is stopped
-  bool StandBackWhenFenced = true;
-  bool WaitForLease = true; ///< silence proves an end only after it
-};
 
 /// What the target is known to do with an attempt.
 enum class attempt_phase : std::uint8_t {
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -414,7 +414,8 @@
 void stopOrphans(step &Step) {
   pool_state &State = Step.State;
   const auto IsOrphan = [&](const host_ref &Coordinator) {
-    return !isHeard(State, Coordinator, Step.Now, config::CoordinatorSilence);
+    return State.Init.Rules.StopOrphans &&
+           !isHeard(State, Coordinator, Step.Now, config::CoordinatorSilence);
   };
   std::erase_if(State.Owner.Queue, [&](const queued_task &Task) {
     return IsOrphan(Task.Coordinator);
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -241,8 +241,7 @@
 void reduce(pool_state &State, event &&Event, boot_time Now,
             std::vector<effect> &Effects) {
   step Step{State, Now, Effects};
-  std::visit([&](auto &&Kind) { handle(Step, std::move(Kind)); },
-             std::move(Event));
+  std::visit([&](auto &Kind) { handle(Step, std::move(Kind)); }, Event);
   summarise(Step);
   if (Now >= State.DealDueAt) {
     State.DealDueAt = Now + config::DealInterval;
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -105,7 +105,6 @@
 
 struct pool_state {
   pool_init Init;
-  custody_rules Rules;
   counters Counters;
   configuration Configuration; ///< version 0: none yet
   bool HasMembers = false;     ///< the list of hosts was read
@@ -140,7 +139,7 @@
 
   custody_context custodyContext() const {
     return {Now,         State.Init.LeaseTime, State.HolderNumber,
-            State.Rules, State.Counters,       Effects};
+            State.Init.Rules, State.Counters,       Effects};
   }
   host_ref self() const { return {State.Init.Name, State.Init.Incarnation}; }
   void count(counter Counter, std::uint64_t Count = 1) const {
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -185,8 +185,7 @@
   std::vector<pool::effect> Effects;
   pool::reduce(*Host, std::move(Event), bootNow(), Effects);
   for (pool::effect &Effect : Effects) {
-    std::visit([this](auto &&Kind) { carryOut(std::move(Kind)); },
-               std::move(Effect));
+    std::visit([this](auto &Kind) { carryOut(std::move(Kind)); }, Effect);
   }
 }
 
--- /dev/null
+++ b/tests/unit/pool_rules_test.cpp
@@ -0,0 +1,133 @@
+/// Each rule of custody is needed: without it a random walk through faults
+/// finds a broken rule of the platform; with all of them it finds none.
+#include "pool_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::pool;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t Hosts = 4;
+
+/// One random fault or its end.
+void disturb(pool_world &World, std::mt19937_64 &Random,
+             std::set<std::size_t> &Dead, std::set<std::size_t> &Frozen) {
+  constexpr std::uint64_t Kinds = 9;
+  const std::size_t Host = Random() % Hosts;
+  switch (Random() % Kinds) {
+  case 0:
+    if (!Dead.contains(Host) && !Frozen.contains(Host)) {
+      World.kill(Host);
+      Dead.insert(Host);
+    }
+    return;
+  case 1:
+  case 2:
+    if (Dead.erase(Host) > 0) {
+      World.restart(Host);
+    }
+    return;
+  case 3:
+    if (!Dead.contains(Host) && Frozen.insert(Host).second) {
+      World.freeze(Host);
+    }
+    return;
+  case 4:
+    if (Frozen.erase(Host) > 0) {
+      World.wake(Host);
+    }
+    return;
+  case 5:
+    World.cutHosts(Host, (Host + 1) % Hosts);
+    World.cutHosts(Host, (Host + 2) % Hosts);
+    return;
+  case 6:
+    World.cutFromTargets(Host);
+    return;
+  case 7:
+    World.heal();
+    World.listAll();
+    return;
+  default:
+    World.target(Random() % World.targetCount())
+        .crash(World.now(), World.now().time_since_epoch().count());
+    return;
+  }
+}
+
+/// Plays jobs and resubmissions under random faults. @returns broken rules
+std::string walk(std::uint64_t Seed, const custody_rules &Rules) {
+  constexpr int Steps = 40;
+  constexpr milliseconds StepTime = 150ms;
+  constexpr int ResendSteps = 9; // 1,350 ms
+  world_init Init;
+  Init.Hosts = Hosts;
+  Init.Domains = 2;
+  Init.TargetsPerDomain = 3;
+  Init.Seed = Seed;
+  Init.DatagramLoss = 0.02;
+  Init.Rules = Rules;
+  pool_world World(Init);
+  std::mt19937_64 Random(Seed);
+  std::set<std::size_t> Dead;
+  std::set<std::size_t> Frozen;
+  std::map<std::string, std::pair<std::size_t, int>> Submitted;
+  World.settle();
+  World.setLateOrders(0.05);
+  for (int Step = 0; Step < Steps; ++Step) {
+    if (Random() % 4 == 0) {
+      disturb(World, Random, Dead, Frozen);
+    }
+    world_job Job{"j" + std::to_string(Step), 3};
+    Job.Work = milliseconds(100 + Random() % 1'500);
+    const std::size_t Host = Random() % Hosts;
+    if (!Dead.contains(Host)) {
+      World.submit(Host, Job);
+      Submitted[Job.Id] = {Host, Step};
+    }
+    // A caller whose host died sends its job again after a pause.
+    for (auto &[Id, At] : Submitted) {
+      const std::size_t Other = (At.first + 1) % Hosts;
+      if (Dead.contains(At.first) && Step == At.second + ResendSteps &&
+          !Dead.contains(Other)) {
+        World.submit(Other, World.jobOf(Id));
+      }
+    }
+    World.runFor(StepTime);
+  }
+  World.setLateOrders(0);
+  World.runFor(8s);
+  return World.broken();
+}
+} // namespace
+
+TEST_CASE("random faults break no rule", "[pool]") {
+  const std::uint64_t Seed = GENERATE(range(1, 31));
+  INFO("seed " << Seed);
+  CHECK(walk(Seed, {}) == "");
+}
+
+TEST_CASE("each rule of custody is needed", "[pool]") {
+  struct rule_case {
+    std::string Name;
+    bool custody_rules::*Rule;
+    std::string Finds; ///< any of these
+  };
+  const rule_case Case = GENERATE(values<rule_case>({
+      {"raise the token in doubt", &custody_rules::RaiseTokenInDoubt, "TWICE"},
+      {"stop what is unknown", &custody_rules::StopUnknown, "LIMIT"},
+      {"wait for the lease's end", &custody_rules::WaitForLease, "TWICE"},
+      {"stop orphans", &custody_rules::StopOrphans, "TWICE"},
+  }));
+  INFO(Case.Name);
+  custody_rules Rules;
+  Rules.*Case.Rule = false;
+  constexpr std::uint64_t MostSeeds = 200;
+  bool IsFound = false;
+  for (std::uint64_t Seed = 1; Seed <= MostSeeds && !IsFound; ++Seed) {
+    IsFound = walk(Seed, Rules).find(Case.Finds) != std::string::npos;
+  }
+  CHECK(IsFound);
+}
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -59,6 +59,7 @@
   Hosts.resize(Init.Hosts);
   for (std::size_t Host = 0; Host < Init.Hosts; ++Host) {
     Hosts[Host].Init.Name = hostName(Host);
+    Hosts[Host].Init.Rules = Init.Rules;
     Hosts[Host].Init.FailureDomain = domainName(Host % Init.Domains);
     begin(Host);
   }
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -22,6 +22,7 @@
   std::size_t Domains = 1;
   std::uint64_t Seed = 1;
   double DatagramLoss = 0;
+  custody_rules Rules{}; ///< of all hosts
   std::vector<double> Speeds{1.0}; ///< of targets, in turn
 };
 
@@ -47,6 +48,8 @@
 
   /// Submits a job at a host; its answer is kept.
   request_handle submit(std::size_t Host, const world_job &Job);
+  /// @returns a job that was submitted
+  const world_job &jobOf(const std::string &Id) const { return Jobs.at(Id); }
   /// The caller goes without its answer.
   void leave(std::size_t Host, request_handle Request);
   /// @returns the answer, nothing while there is none
