--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -214,6 +214,12 @@
   }
 }
 
+void pool_world::advanceTargets() {
+  for (auto &[Id, Target] : Targets) {
+    Target.advance(Now);
+  }
+}
+
 emulator::target_model *pool_world::find(const std::string &Target) {
   const auto Found = Targets.find(Target);
   return Found == Targets.end() ? nullptr : &Found->second;
@@ -253,6 +259,7 @@
     if (Target == nullptr) {
       return;
     }
+    advanceTargets();
     const order_outcome Outcome =
         Target->start(Start.Attempt, Start.Token, Start.Deadline,
                       profileOf(Start.Attempt), Now);
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -111,6 +111,8 @@
   /// Posts an event if the process that asked still lives.
   void reply(std::size_t Host, std::uint64_t Life, event Event);
   bool reaches(std::size_t Host, const std::string &Target) const;
+  /// Ends what is over everywhere, so that a start is judged by what runs.
+  void advanceTargets();
   emulator::target_model *find(const std::string &Target);
   emulator::task_profile profileOf(const attempt_ref &Attempt) const;
   configuration makeConfiguration() const;
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -124,7 +124,11 @@
       },
       [](request_handle) {}));
   for (const auto &Target : Targets) {
-    BOOST_LEAF_CHECK(Target->start());
+    BOOST_LEAF_CHECK(Target->start([this] {
+      for (const auto &Other : Targets) {
+        Other->model().advance(bootNow());
+      }
+    }));
   }
   configure({"quote", "long"});
   reportTargets();
--- a/tools/emulator/target_server.cpp
+++ b/tools/emulator/target_server.cpp
@@ -80,7 +80,8 @@
             std::move(Record)),
       Profiles(std::move(Profiles)), Random(Seed) {}
 
-result<void> target_server::start() {
+result<void> target_server::start(std::function<void()> Called) {
+  BeforeStart = std::move(Called);
   return Entry.start(
       [this](request_handle Request, entry_request &&Received) {
         take(Request, std::move(Received));
@@ -148,6 +149,7 @@
     Entry.respond(Request, {StatusBadRequest, "{}", {}});
     return;
   }
+  BeforeStart();
   respond(Request, Model.start(*Attempt, Body["fencingToken"].asUInt64(),
                                milliseconds(Body["deadlineMs"].asInt64()),
                                Profiles(*Attempt), bootNow()));
--- a/tools/emulator/target_server.h
+++ b/tools/emulator/target_server.h
@@ -29,7 +29,9 @@
                 std::string Address, target_model::recorder Record,
                 profile_lookup Profiles, std::uint64_t Seed);
 
-  result<void> start();
+  /// @param[in] BeforeStart called before a task starts, so that the ends at
+  /// other targets are on record first
+  result<void> start(std::function<void()> BeforeStart);
   void onTimer(boot_time Now);
   boot_time nextDue() const;
   void flush(boot_time Now) { Entry.flush(Now); }
@@ -66,6 +68,7 @@
   poolhost::http_entry Entry;
   target_model Model;
   profile_lookup Profiles;
+  std::function<void()> BeforeStart;
   std::mt19937_64 Random;
   target_faults Faults;
   bool IsDraining = false;
