Take only datagrams that are proved fresh; begin terms above all that owners told

Ruled out: clocks in datagrams (they jump); noticing an own stop by a gap between events (an old datagram may also have waited in the network). Change: each datagram tells the latest state of the receiver that its sender has heard; only one that the receiver sent within 700 ms makes it fresh, else nothing of it counts. States tell the owner's term; a new owner begins above. A caller that has left before its request is read gets nothing started.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -62,7 +62,12 @@
 constexpr milliseconds MemberLease{3'000};
 constexpr milliseconds MemberRenewal{1'000};
 
+/// Terms that an owner may have gone up since it told its term last.
+constexpr std::uint64_t TermMargin = 8;
+
 // Datagrams between hosts.
+/// Older ones prove nothing: the sender may be gone.
+constexpr milliseconds MaxDatagramAge{700};
 constexpr milliseconds StateInterval{200}; ///< at least
 constexpr milliseconds StateSpacing{10};   ///< at most one changed state within
 constexpr milliseconds ResendAfter{20};
--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -83,6 +83,7 @@
   task_needs Free;
   double Speed = 1;
   bool IsSpeedKnown = false; ///< learnt there, not only at its kind
+  std::uint64_t Term = 0;    ///< of the owner's fencing token
   bool IsUsable = true;      ///< false: draining, mute or set aside
 };
 
@@ -101,6 +102,9 @@
   std::string FailureDomain;
   std::uint64_t ToIncarnation = 0; ///< 0: not known yet
   std::uint64_t StateNumber = 0;
+  /// Latest state of the receiver that the sender has heard; tells how old the
+  /// datagram can be at most.
+  std::uint64_t HeardState = 0;
   std::optional<host_state> State;
   std::uint64_t Epoch = 0;      ///< of the sender's numbers
   std::uint64_t AckedEpoch = 0; ///< of the receiver's numbers that are acked
--- a/src/core/pool/custody.cpp
+++ b/src/core/pool/custody.cpp
@@ -22,8 +22,13 @@
 }
 } // namespace
 
-custody::custody(const target_record &Record, std::uint64_t HolderNumber)
-    : Record(Record), Token(makeToken(1, HolderNumber)) {}
+custody::custody(const target_record &Record, std::uint64_t HolderNumber,
+                 std::uint64_t KnownTerm)
+    : Record(Record),
+      Token(makeToken(KnownTerm == 0 ? 1 : KnownTerm + config::TermMargin,
+                      HolderNumber)) {}
+
+std::uint64_t custody::term() const { return termOf(Token); }
 
 void custody::adopt(const target_handover &Handover, custody_context &Context) {
   Token = makeToken(termOf(Handover.Token) + 1, Context.HolderNumber);
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -16,7 +16,6 @@
 
 namespace tarragonbridge::pool {
 
-
 /// What the target is known to do with an attempt.
 enum class attempt_phase : std::uint8_t {
   Sent,    ///< the start's answer is awaited
@@ -67,7 +66,10 @@
 class custody {
 public:
   /// Begins to take a target over; nothing is known of it.
-  custody(const target_record &Record, std::uint64_t HolderNumber);
+  ///
+  /// @param[in] KnownTerm highest term that an owner told of
+  custody(const target_record &Record, std::uint64_t HolderNumber,
+          std::uint64_t KnownTerm);
 
   /// Takes over from an owner that lives.
   void adopt(const target_handover &Handover, custody_context &Context);
@@ -112,6 +114,8 @@
   /// @returns whether custody has nothing left to do
   bool isFinished() const;
   std::uint64_t token() const { return Token; }
+  /// @returns the part of the token that rises
+  std::uint64_t term() const;
   /// @returns a bound on when the target forgets what isn't renewed
   boot_time leaseProofAt() const { return LeaseProofAt; }
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -448,7 +448,7 @@
     Described.Targets.push_back(
         {Id, Custody.record().Service, Custody.room(), speedOf(State, Id),
          Listed != State.Targets.end() && Listed->second.Speed.isKnown(),
-         Custody.isUsable() && !State.IsLeaving});
+         Custody.term(), Custody.isUsable() && !State.IsLeaving});
   }
   return Described;
 }
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -61,7 +61,8 @@
            {{"target", Listed.Record.Id}, {"address", Listed.Record.Address}});
   Step.count(counter::TakeOvers);
   Step.State.Owner.Custodies.emplace(
-      Listed.Record.Id, custody(Listed.Record, Step.State.HolderNumber));
+      Listed.Record.Id,
+      custody(Listed.Record, Step.State.HolderNumber, Listed.KnownTerm));
   Step.State.Owner.RoomChanged = true;
 }
 
@@ -182,7 +183,7 @@
     return; // nobody owns it now; the dealing finds an owner
   }
   custody_context Context = Step.custodyContext();
-  custody Custody(Listed->second.Record, State.HolderNumber);
+  custody Custody(Listed->second.Record, State.HolderNumber, 0);
   Custody.adopt(Handover, Context);
   Listed->second.Speed.assume(Handover.Speed);
   State.Owner.Custodies.emplace(Handover.Target, std::move(Custody));
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -164,7 +164,7 @@
   Value Targets(Json::arrayValue);
   for (const target_room &Room : State.Targets) {
     Targets.append(row(Room.Target, Room.Service, encode(Room.Free), Room.Speed,
-                       Room.IsSpeedKnown, Room.IsUsable));
+                       Room.IsSpeedKnown, Room.IsUsable, wide(Room.Term)));
   }
   return row(State.IsLeaving, Json::Int64(State.ConfigurationVersion),
              count(State.Wait), State.Slots, Targets);
@@ -175,7 +175,8 @@
   for (const Value &Room : Row[4]) {
     State.Targets.push_back({Room[0].asString(), Room[1].asString(),
                              decodeNeeds(Room[2]), Room[3].asDouble(),
-                             Room[4].asBool(), Room[5].asBool()});
+                             Room[4].asBool(), Room[6].asUInt64(),
+                             Room[5].asBool()});
   }
   return State;
 }
@@ -197,7 +198,7 @@
           wide(Datagram.ToIncarnation), wide(Datagram.StateNumber),
           Datagram.State ? encode(*Datagram.State) : Value(),
           wide(Datagram.AckedUpTo), Beyond, Messages, wide(Datagram.Epoch),
-          wide(Datagram.AckedEpoch));
+          wide(Datagram.AckedEpoch), wide(Datagram.HeardState));
   Json::StreamWriterBuilder Writer;
   Writer["indentation"] = "";
   Writer["precision"] = 4;
@@ -233,6 +234,7 @@
     }
     Datagram.Epoch = Root[8].asUInt64();
     Datagram.AckedEpoch = Root[9].asUInt64();
+    Datagram.HeardState = Root[10].asUInt64();
     return Datagram;
   } catch (const std::exception &) {
     return std::nullopt;
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -67,6 +67,26 @@
                     {Datagram.From, Received.From, Datagram.FailureDomain});
 }
 
+/// @returns whether the sender has heard a state that this host sent lately,
+/// so that the datagram can't be older
+bool isFresh(const step &Step, const datagram &Datagram) {
+  const auto &Sent = Step.State.SentStates;
+  const auto Found =
+      std::lower_bound(Sent.begin(), Sent.end(), Datagram.HeardState,
+                       [](const auto &Entry, std::uint64_t Number) {
+                         return Entry.first < Number;
+                       });
+  return Found != Sent.end() && Found->first == Datagram.HeardState &&
+         Found->second + config::MaxDatagramAge >= Step.Now;
+}
+
+void noteSent(pool_state &State, boot_time Now) {
+  State.SentStates.emplace_back(State.StateNumber, Now);
+  while (State.SentStates.front().second + config::MaxDatagramAge < Now) {
+    State.SentStates.pop_front();
+  }
+}
+
 void dropOldReservations(peer_host &Peer, boot_time Now) {
   while (!Peer.Reservations.empty() &&
          Peer.Reservations.front().At + ReservationTime < Now) {
@@ -94,6 +114,7 @@
   Datagram.FailureDomain = State.Init.FailureDomain;
   Datagram.ToIncarnation = Peer.Member.Host.Incarnation;
   Datagram.StateNumber = State.StateNumber;
+  Datagram.HeardState = Peer.StateNumber;
   if (HostState != nullptr) {
     Datagram.State = *HostState;
   }
@@ -123,17 +144,34 @@
   }
 }
 
+namespace {
+void takeState(step &Step, peer_host &Peer, host_state &&HostState) {
+  Peer.HasState = true;
+  Peer.State = std::move(HostState);
+  dropOldReservations(Peer, Step.Now);
+  for (const target_room &Room : Peer.State.Targets) {
+    const auto Listed = Step.State.Targets.find(Room.Target);
+    if (Listed != Step.State.Targets.end()) {
+      Listed->second.KnownTerm = std::max(Listed->second.KnownTerm, Room.Term);
+    }
+  }
+}
+} // namespace
+
 void takeDatagram(step &Step, datagram_received &&Received) {
   peer_host *Peer = findSender(Step, Received);
   if (Peer == nullptr) {
     return;
   }
   datagram &Datagram = Received.Datagram;
+  const bool IsNewest = Datagram.StateNumber > Peer->StateNumber;
+  Peer->StateNumber = std::max(Peer->StateNumber, Datagram.StateNumber);
+  if (!isFresh(Step, Datagram)) {
+    return; // from before this host stood still, or the sender doesn't hear it
+  }
   Peer->HeardAt = Step.Now;
-  if (Datagram.State && Datagram.StateNumber > Peer->StateNumber) {
-    Peer->StateNumber = Datagram.StateNumber;
-    Peer->State = std::move(*Datagram.State);
-    dropOldReservations(*Peer, Step.Now);
+  if (Datagram.State && (IsNewest || !Peer->HasState)) {
+    takeState(Step, *Peer, std::move(*Datagram.State));
   }
   if (Datagram.ToIncarnation != Step.State.Init.Incarnation) {
     return; // meant for the process before this one
@@ -183,6 +221,7 @@
   if (IsStateDue) {
     ++State.StateNumber;
     State.StateSentAt = Step.Now;
+    noteSent(State, Step.Now);
     State.Owner.RoomChanged = false;
     HostState = describeRoom(State, Step.Now);
   }
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -24,6 +24,7 @@
   boot_time KnownSince;
   boot_time HeardAt; ///< epoch: never in this incarnation
   std::uint64_t StateNumber = 0;
+  bool HasState = false;
   host_state State;
   peer_link Link;
   /// Room promised to tasks on their way, which its state doesn't show yet.
@@ -47,6 +48,7 @@
   target_record Record;
   boot_time NotBefore; ///< no take-over before, after another host took it
   std::optional<boot_time> MissingSince; ///< in the platform's list
+  std::uint64_t KnownTerm = 0;           ///< highest that any owner told
   speed_estimate Speed;
   boot_time LearntAt; ///< when the speed was last measured
 };
@@ -122,6 +124,8 @@
   coordinator_state Coordinator;
   std::uint64_t StateNumber = 0;
   boot_time StateSentAt;
+  /// States sent lately, by number, the oldest first.
+  std::deque<std::pair<std::uint64_t, boot_time>> SentStates;
   /// Messages of this host to itself, handled before the event ends.
   std::deque<peer_message> Inbox;
   bool IsLeaving = false;
@@ -138,8 +142,12 @@
   std::vector<effect> &Effects;
 
   custody_context custodyContext() const {
-    return {Now,         State.Init.LeaseTime, State.HolderNumber,
-            State.Init.Rules, State.Counters,       Effects};
+    return {Now,
+            State.Init.LeaseTime,
+            State.HolderNumber,
+            State.Init.Rules,
+            State.Counters,
+            Effects};
   }
   host_ref self() const { return {State.Init.Name, State.Init.Incarnation}; }
   void count(counter Counter, std::uint64_t Count = 1) const {
--- a/src/poolhost/http_entry.cpp
+++ b/src/poolhost/http_entry.cpp
@@ -5,6 +5,7 @@
 
 #include <microhttpd.h>
 #include <optional>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -41,6 +42,19 @@
   return Value == nullptr ? "" : Value;
 }
 
+int socketOf(MHD_Connection *Connection) {
+  const auto *Info =
+      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return Info == nullptr ? -1 : Info->connect_fd;
+}
+
+/// @returns whether the caller has closed its side
+bool hasLeft(MHD_Connection *Connection) {
+  pollfd Socket{socketOf(Connection), POLLRDHUP, 0};
+  return poll(&Socket, 1, 0) > 0 &&
+         (Socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 MHD_Result collectQuery(void *Cls, MHD_ValueKind /*Kind*/, const char *Key,
                         const char *Value) {
   static_cast<entry_request *>(Cls)->Query[Key] = Value == nullptr ? "" : Value;
@@ -149,6 +163,11 @@
       headerOf(Exchange.Connection, Init.TimeLimitHeader.c_str());
   MHD_get_connection_values(Exchange.Connection, MHD_GET_ARGUMENT_KIND,
                             collectQuery, &Request);
+  if (hasLeft(Exchange.Connection)) {
+    // Read after this host stood still: its caller may be served elsewhere.
+    Exchange.Response = entry_response{StatusCallerLeft, "", {}};
+    return;
+  }
   OnRequest(Exchange.Handle, std::move(Request));
 }
 
@@ -159,9 +178,7 @@
 }
 
 void http_entry::impl::suspend(exchange &Exchange) {
-  const auto *Info = MHD_get_connection_info(Exchange.Connection,
-                                             MHD_CONNECTION_INFO_CONNECTION_FD);
-  Exchange.Fd = Info == nullptr ? -1 : Info->connect_fd;
+  Exchange.Fd = socketOf(Exchange.Connection);
   MHD_suspend_connection(Exchange.Connection);
   Exchange.IsSuspended = true;
   // The library doesn't look at suspended connections: see the end here.
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -22,7 +22,7 @@
   std::size_t Domains = 1;
   std::uint64_t Seed = 1;
   double DatagramLoss = 0;
-  custody_rules Rules{}; ///< of all hosts
+  custody_rules Rules{};           ///< of all hosts
   std::vector<double> Speeds{1.0}; ///< of targets, in turn
 };
 
