Hand the queue back when a host leaves; deal targets of a leaving host as the others do

Ruled out: lost messages (none resent for long), custody (one target fenced), the store. Change: a host without targets refuses its queue; one dealing for leaving and staying hosts; a target that was claimed within 0.25 s is on its way. Owners of what is left are logged.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -62,6 +62,7 @@
 constexpr milliseconds MemberLease{3'000};
 constexpr milliseconds MemberRenewal{1'000};
 
+constexpr milliseconds HandoverTime{250}; ///< until the new owner tells of it
 /// Terms that an owner may have gone up since it told its term last.
 constexpr std::uint64_t TermMargin = 8;
 
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -167,6 +167,21 @@
             {"objective_ms", describe(until(Job.EndBy, Job.PostedAt))}});
 }
 
+/// @returns the hosts that have tasks of a job, and how many each
+std::string describeOwners(const open_job &Job) {
+  std::map<std::string, std::size_t> Counts;
+  for (const job_task &Task : Job.Tasks) {
+    if (Task.Phase == task_phase::Offered) {
+      ++Counts[Task.Owner.Name];
+    }
+  }
+  std::string Text;
+  for (const auto &[Host, Count] : Counts) {
+    Text += (Text.empty() ? "" : ",") + Host + ":" + std::to_string(Count);
+  }
+  return Text;
+}
+
 void failJob(step &Step, const std::string &Id, answer_kind Kind,
              std::string_view Reason, const std::string &Detail = "") {
   const open_job &Job = Step.State.Coordinator.Jobs.find(Id)->second;
@@ -557,7 +572,8 @@
   }
   for (const auto &[Id, Reason] : Ended) {
     Step.count(counter::GivenUpLate);
-    failJob(Step, Id, answer_kind::JobAbandoned, Reason);
+    failJob(Step, Id, answer_kind::JobAbandoned, Reason,
+            describeOwners(State.Coordinator.Jobs.find(Id)->second));
   }
 }
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -186,6 +186,13 @@
   });
 }
 
+/// Refuses the queue of a host whose targets have all gone to others.
+void refuseAll(step &Step) {
+  for (const queued_task &Task : std::exchange(Step.State.Owner.Queue, {})) {
+    refuse(Step, Task.Coordinator, {Task.Attempt});
+  }
+}
+
 counter counterOf(attempt_end End) {
   switch (End) {
   case attempt_end::Done:
@@ -367,6 +374,9 @@
   }
   startQueued(Step);
   refuseUnstarted(Step);
+  if (Custodies.empty()) {
+    refuseAll(Step);
+  }
   for (auto &[Id, Custody] : Custodies) {
     if (Custody.nextDue(Step.Now) <= Step.Now) {
       Custody.onTimer(Context);
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -37,6 +37,16 @@
   return Hosts;
 }
 
+/// Deals all listed targets to the hosts that may own them.
+std::map<std::string, std::string> dealListed(const pool_state &State,
+                                              boot_time Now) {
+  std::map<std::string, std::string> Domains;
+  for (const auto &[Id, Target] : State.Targets) {
+    Domains.emplace(Id, Target.Record.FailureDomain);
+  }
+  return dealTargets(Domains, eligibleHosts(State, Now));
+}
+
 bool canTakeOver(const peer_host &Peer, boot_time Now) {
   return !Peer.State.IsLeaving && wasHeard(Peer, Now, config::HandoverSilence);
 }
@@ -81,8 +91,11 @@
     }
     return;
   }
+  // Between two owners' states a target on its way seems to have none.
+  const bool IsOnItsWay = Listed.ClaimedAt != boot_time{} &&
+                          Listed.ClaimedAt + config::HandoverTime > Step.Now;
   if (WantedOwner == State.Init.Name && Listed.NotBefore <= Step.Now &&
-      findClaimant(State, Id, Step.Now) == nullptr) {
+      !IsOnItsWay && findClaimant(State, Id, Step.Now) == nullptr) {
     takeOver(Step, Listed);
   }
 }
@@ -208,32 +221,27 @@
       State.IsLeaving || Step.Now < State.DealNotBefore) {
     return;
   }
-  std::map<std::string, std::string> Domains;
-  for (const auto &[Id, Target] : State.Targets) {
-    Domains.emplace(Id, Target.Record.FailureDomain);
-  }
-  const auto Owners = dealTargets(Domains, eligibleHosts(State, Step.Now));
-  for (const auto &[Id, Host] : Owners) {
+  for (const auto &[Id, Host] : dealListed(State, Step.Now)) {
     settleTarget(Step, State.Targets.find(Id)->second, Host);
   }
 }
 
 bool handAllOver(step &Step) {
   pool_state &State = Step.State;
-  std::map<std::string, std::string> Domains;
+  // The same dealing as that of the hosts that stay, so that none moves twice.
+  const auto Owners = dealListed(State, Step.Now);
+  std::vector<std::pair<std::string, const peer_host *>> Gifts;
   for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    Domains.emplace(Id, Custody.record().FailureDomain);
-  }
-  std::vector<dealt_host> Heirs;
-  for (const auto &[Name, Peer] : State.Peers) {
-    if (canTakeOver(Peer, Step.Now)) {
-      Heirs.push_back({Name, Peer.Member.FailureDomain});
+    const auto Wanted = Owners.find(Id);
+    const auto Peer = Wanted == Owners.end() ? State.Peers.end()
+                                             : State.Peers.find(Wanted->second);
+    if (Custody.phase() == custody_phase::Held && Peer != State.Peers.end() &&
+        canTakeOver(Peer->second, Step.Now)) {
+      Gifts.emplace_back(Id, &Peer->second);
     }
   }
-  for (const auto &[Id, Host] : dealTargets(Domains, Heirs)) {
-    if (State.Owner.Custodies.find(Id)->second.phase() == custody_phase::Held) {
-      giveTarget(Step, Id, State.Peers.find(Host)->second);
-    }
+  for (const auto &[Id, Peer] : Gifts) {
+    giveTarget(Step, Id, *Peer);
   }
   return State.Owner.Custodies.empty();
 }
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -153,6 +153,7 @@
     const auto Listed = Step.State.Targets.find(Room.Target);
     if (Listed != Step.State.Targets.end()) {
       Listed->second.KnownTerm = std::max(Listed->second.KnownTerm, Room.Term);
+      Listed->second.ClaimedAt = Step.Now;
     }
   }
 }
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -48,7 +48,8 @@
   target_record Record;
   boot_time NotBefore; ///< no take-over before, after another host took it
   std::optional<boot_time> MissingSince; ///< in the platform's list
-  std::uint64_t KnownTerm = 0;           ///< highest that any owner told
+  boot_time ClaimedAt;         ///< when another host last told that it owns it
+  std::uint64_t KnownTerm = 0; ///< highest that any owner told
   speed_estimate Speed;
   boot_time LearntAt; ///< when the speed was last measured
 };
--- a/tests/unit/pool_world_test.cpp
+++ b/tests/unit/pool_world_test.cpp
@@ -270,3 +270,29 @@
   CHECK(World.answerOf(Request) == answer_kind::JobFailed);
   CHECK(World.counted(counter::EndsFailed) >= 2);
 }
+
+TEST_CASE("what waits at a host that leaves goes elsewhere at once", "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.TargetsPerDomain = 4;
+  pool_world World(Init);
+  World.settle();
+  world_job Job;
+  Job.Tasks = 2;
+  Job.Work = 300ms;
+  std::vector<request_handle> Requests;
+  for (int Number = 0; Number < 6; ++Number) {
+    Job.Id = "j" + std::to_string(Number);
+    Requests.push_back(World.submit(1, Job));
+  }
+  World.runFor(20ms);
+  REQUIRE(World.figuresOf(0).TasksQueued > 0);
+  World.terminate(0, 6s);
+  World.runFor(3s);
+  CHECK(World.count(answer_kind::JobAbandoned) == 0);
+  for (const request_handle Request : Requests) {
+    CHECK(World.answerOf(Request) == answer_kind::JobDone);
+    CHECK(World.answeredAfter(Request) < 1s);
+  }
+  CHECK_THAT(World.broken(), Catch::Equals(""));
+}
