Prove room anew whenever a list shows attempts of another host

A host that was cut off had raised its token in doubt, undelivered; the host that took over found a lower one by going up, and was accepted. After the cut the first one's token was the higher: its list showed the other's tasks, which it stopped, but counted its room by its own attempts and started at once. Ruled out: the proof by the lease's end, doubt, the reborn target (no crash near). Change: a list with unknown attempts ends the room until a list without them; ends that were listed lately aren't unknown in an older list that arrives late.

--- a/src/core/pool/custody.cpp
+++ b/src/core/pool/custody.cpp
@@ -231,6 +231,7 @@
       continue;
     }
     LastEnd = Listed.Number;
+    ListedEnds[Listed.Attempt] = Context.Now;
     end(Listed.Attempt, Listed.End, false, Context);
   }
 }
@@ -269,9 +270,13 @@
           NeverRan && !Attempt.NeedsHigherRun, Context);
     }
   }
+  forgetOldEnds(Context.Now);
   HasUnknown = false;
   for (const attempt_ref &Ref : Answer.Running) {
-    if (Attempts.contains(Ref) || !Context.Rules.StopUnknown) {
+    const auto ListedEnd = ListedEnds.find(Ref);
+    const bool HasEnded =
+        ListedEnd != ListedEnds.end() && ListedEnd->second >= Call.SentAt;
+    if (Attempts.contains(Ref) || HasEnded || !Context.Rules.StopUnknown) {
       continue;
     }
     HasUnknown = true;
@@ -280,6 +285,9 @@
         stop_attempt{Record.Id, Record.Address, Ref, Token});
   }
   if (HasUnknown) {
+    // Another host started them, under a token that is lower by chance: room
+    // is proved again only by a list without them.
+    Phase = custody_phase::Acquiring;
     ListDueAt = Context.Now + config::RetryHoldAfter;
   }
   if (Phase == custody_phase::Acquiring && Call.Token == Token && !HasUnknown) {
@@ -288,6 +296,13 @@
   }
 }
 
+void custody::forgetOldEnds(boot_time Now) {
+  constexpr milliseconds KeptFor{3'000}; // past the longest hold
+  std::erase_if(ListedEnds, [&](const auto &Entry) {
+    return Entry.second + KeptFor < Now;
+  });
+}
+
 void custody::onTimer(custody_context &Context) {
   const boot_time Now = Context.Now;
   for (auto Call = Holds.begin(); Call != Holds.end();) {
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -142,6 +142,7 @@
   void noteUnanswered(boot_time SentAt, custody_context &Context);
   void sendStop(owned_attempt &Attempt, custody_context &Context);
   void sendHold(milliseconds Wait, custody_context &Context);
+  void forgetOldEnds(boot_time Now);
   bool needsList() const;
   bool wantsList() const;
   boot_time listDueAt() const;
@@ -159,7 +160,8 @@
   std::vector<ended_attempt> Ended;
   std::map<std::uint64_t, hold_call> Holds; ///< underway, by number
   std::uint64_t LastCall = 0;
-  std::uint64_t LastEnd = 0;      ///< highest end taken note of
+  std::uint64_t LastEnd = 0;                   ///< highest end taken note of
+  std::map<attempt_ref, boot_time> ListedEnds; ///< lately, and when
   std::uint64_t LastEndAcked = 0; ///< that an answered hold carried
   boot_time ListDueAt;            ///< not before
   boot_time QuietUntil;           ///< no hold before, after one unanswered
--- /dev/null
+++ b/tests/unit/custody_test.cpp
@@ -0,0 +1,230 @@
+/// Custody of one target, call by call.
+#include "core/pool/custody_p.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::pool;
+using namespace std::chrono_literals;
+
+namespace {
+/// A custody with what its calls need; the target is played by the test.
+struct custody_fixture {
+  counters Counters;
+  std::vector<effect> Effects;
+  boot_time Now{100s};
+  custody Custody{makeRecord(), 7, 0};
+
+  static target_record makeRecord() {
+    target_record Record;
+    Record.Id = "t";
+    Record.Service = "desk";
+    Record.Capacity = {32'000, 65'536, 0};
+    Record.Incarnation = 1;
+    return Record;
+  }
+  custody_context context() {
+    return {Now, 1s, 7, custody_rules{}, Counters, Effects};
+  }
+  /// @returns the latest hold that was sent
+  hold_target lastHold() const {
+    std::optional<hold_target> Last;
+    for (const effect &Effect : Effects) {
+      if (const auto *Hold = std::get_if<hold_target>(&Effect)) {
+        Last = *Hold;
+      }
+    }
+    REQUIRE(Last);
+    return *Last;
+  }
+  void answerHold(std::vector<attempt_ref> Running,
+                  std::vector<listed_end> Ended = {},
+                  order_outcome Outcome = order_outcome::Accepted) {
+    const hold_target Hold = lastHold();
+    custody_context Context = context();
+    Custody.onHold({"t", Hold.Token, Hold.Call, Outcome, 50s, 1,
+                    std::move(Running), std::move(Ended)},
+                   Context);
+  }
+  void pass(milliseconds Time) {
+    Now += Time;
+    custody_context Context = context();
+    Custody.onTimer(Context);
+  }
+  /// Lets the time pass until a hold is sent.
+  void passUntilHold() {
+    constexpr int MostSteps = 100;
+    Effects.clear();
+    const auto IsHold = [](const effect &Some) {
+      return std::holds_alternative<hold_target>(Some);
+    };
+    for (int Step = 0; Step < MostSteps &&
+                       std::none_of(Effects.begin(), Effects.end(), IsHold);
+         ++Step) {
+      pass(50ms);
+    }
+  }
+  void start(const attempt_ref &Attempt) {
+    queued_task Task;
+    Task.Attempt = Attempt;
+    Task.Needs = {16'000, 64, 0};
+    Task.Specification = std::make_shared<const std::string>("s");
+    custody_context Context = context();
+    Custody.start(std::move(Task), 300ms, Context);
+  }
+  void answerStart(const attempt_ref &Attempt, order_outcome Outcome) {
+    custody_context Context = context();
+    Custody.onStart({"t", Attempt, startTokenOf(Attempt), Outcome, 50s},
+                    Context);
+  }
+  std::uint64_t startTokenOf(const attempt_ref &Attempt) const {
+    std::uint64_t Token = 0;
+    for (const effect &Effect : Effects) {
+      const auto *Start = std::get_if<start_attempt>(&Effect);
+      if (Start != nullptr && Start->Attempt == Attempt) {
+        Token = Start->Token;
+      }
+    }
+    return Token;
+  }
+  std::size_t stopsOf(const attempt_ref &Attempt) const {
+    return static_cast<std::size_t>(
+        std::count_if(Effects.begin(), Effects.end(), [&](const effect &Some) {
+          const auto *Stop = std::get_if<stop_attempt>(&Some);
+          return Stop != nullptr && Stop->Attempt == Attempt;
+        }));
+  }
+  /// Takes the target over while nothing runs there.
+  void acquire() {
+    pass(0ms);
+    answerHold({});
+    REQUIRE(Custody.isUsable());
+  }
+};
+
+const attempt_ref Own{"own", 0, 0, 1};
+const attempt_ref Foreign{"foreign", 0, 0, 1};
+} // namespace
+
+TEST_CASE_METHOD(custody_fixture, "no room before a list under the own token",
+                 "[pool]") {
+  pass(0ms);
+  CHECK_FALSE(Custody.isUsable());
+  CHECK(Custody.room() == task_needs{});
+  answerHold({Foreign});
+  CHECK_FALSE(Custody.isUsable());
+  CHECK(stopsOf(Foreign) == 1);
+  CHECK_FALSE(lastHold().Deadline);
+  pass(100ms);
+  answerHold({}, {{1, Foreign, attempt_end::Stopped}});
+  CHECK(Custody.isUsable());
+  CHECK(Custody.room().CpuMilli == 32'000);
+}
+
+// A host that was cut off comes back with a token that was never delivered and
+// is higher than that of the host which took over meanwhile.
+TEST_CASE_METHOD(custody_fixture, "a list with foreign attempts ends the room",
+                 "[pool]") {
+  acquire();
+  start(Own);
+  answerStart(Own, order_outcome::NoAnswer);
+  pass(5s); // the lease is over
+  REQUIRE(Custody.attempts().empty());
+  passUntilHold();
+  answerHold({Foreign});
+  CHECK_FALSE(Custody.isUsable());
+  CHECK(stopsOf(Foreign) == 1);
+  pass(100ms);
+  answerHold({}, {{4, Foreign, attempt_end::Stopped}});
+  CHECK(Custody.isUsable());
+}
+
+TEST_CASE_METHOD(custody_fixture,
+                 "an end that was listed isn't unknown in an older list",
+                 "[pool]") {
+  acquire();
+  start(Own);
+  answerStart(Own, order_outcome::Accepted);
+  pass(1ms);
+  const hold_target Waiting = lastHold();
+  pass(500ms); // a renewal overtakes the waiting hold
+  answerHold({}, {{1, Own, attempt_end::Done}});
+  custody_context Context = context();
+  Custody.onHold({"t",
+                  Waiting.Token,
+                  Waiting.Call,
+                  order_outcome::Accepted,
+                  50s,
+                  1,
+                  {Own},
+                  {}},
+                 Context);
+  CHECK(Custody.isUsable());
+  CHECK(stopsOf(Own) == 0);
+}
+
+TEST_CASE_METHOD(custody_fixture,
+                 "an unanswered start takes room until a list "
+                 "under a higher token decides",
+                 "[pool]") {
+  struct doubt_case {
+    std::vector<attempt_ref> Running;
+    std::vector<listed_end> Ended;
+    std::optional<attempt_end> End;
+    bool CanRequeue;
+  };
+  const auto Case = GENERATE(values<doubt_case>({
+      {{}, {}, attempt_end::NotStarted, true},
+      {{Own}, {}, std::nullopt, false},
+      {{}, {{1, Own, attempt_end::Done}}, attempt_end::Done, false},
+      {{}, {{1, Own, attempt_end::Failed}}, attempt_end::Failed, false},
+  }));
+  acquire();
+  start(Own);
+  const std::uint64_t Before = Custody.token();
+  answerStart(Own, order_outcome::NoAnswer);
+  CHECK(Custody.token() > Before);
+  CHECK(Custody.room().CpuMilli == 16'000);
+  CHECK(Custody.takeEnded().empty());
+  pass(200ms);
+  CHECK(lastHold().Token == Custody.token());
+  answerHold(Case.Running, Case.Ended);
+  const auto Ended = Custody.takeEnded();
+  REQUIRE(Ended.size() == (Case.End ? 1U : 0U));
+  if (Case.End) {
+    CHECK(Ended[0].End == *Case.End);
+    CHECK(Ended[0].CanRequeue == Case.CanRequeue);
+  }
+}
+
+TEST_CASE_METHOD(custody_fixture,
+                 "a holder that is fenced starts and holds nothing more",
+                 "[pool]") {
+  acquire();
+  start(Own);
+  answerStart(Own, order_outcome::Fenced);
+  CHECK(Custody.phase() == custody_phase::Lost);
+  CHECK_FALSE(Custody.isUsable());
+  CHECK(Custody.takeEnded().empty()); // it may run until its lease is over
+  Effects.clear();
+  pass(500ms);
+  CHECK(Effects.empty());
+  pass(1s);
+  REQUIRE(Custody.takeEnded().size() == 1);
+  CHECK(Custody.isFinished());
+}
+
+TEST_CASE_METHOD(custody_fixture, "a new holder goes up until it is accepted",
+                 "[pool]") {
+  std::uint64_t Highest = 0;
+  for (int Try = 0; Try < 5; ++Try) {
+    pass(100ms);
+    CHECK(lastHold().Token > Highest);
+    Highest = lastHold().Token;
+    answerHold({}, {}, order_outcome::Fenced);
+  }
+  pass(100ms);
+  answerHold({});
+  CHECK(Custody.isUsable());
+  CHECK(Custody.term() >= 16);
+}
