--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -70,7 +70,7 @@
 /// Older ones prove nothing: the sender may be gone.
 constexpr milliseconds MaxDatagramAge{700};
 constexpr milliseconds StateInterval{200}; ///< at least
-constexpr milliseconds StateSpacing{10};   ///< at most one changed state within
+constexpr milliseconds StateSpacing{30};   ///< at most one changed state within
 constexpr milliseconds ResendAfter{20};
 constexpr milliseconds MaxResendAfter{320};
 constexpr std::size_t MaxDatagramBytes = 32U << 10U;
--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -117,8 +117,13 @@
   std::vector<numbered_message> Messages;
 };
 
+/// @returns the bytes of a state, for encodeDatagram
+std::string encodeState(const host_state &State);
+/// A state that goes to many hosts is encoded once.
+///
+/// @param[in] State bytes of the state, empty for none
 /// @returns the bytes to send
-std::string encodeDatagram(const datagram &Datagram);
+std::string encodeDatagram(const datagram &Datagram, std::string_view State);
 /// @returns the datagram, nothing when the bytes can't be read
 std::optional<datagram> decodeDatagram(std::string_view Bytes);
 
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -2,12 +2,14 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <memory>
 #include <stdexcept>
 
-// Datagrams are JSON texts. Rows of values stand as arrays, in the order of the
-// fields of their type. A reader takes what it knows and refuses the datagram
-// as a whole when a value has another type.
+// Datagrams are JSON texts: a line with head and messages, and a second one
+// with the sender's state where there is one. Rows of values stand as arrays,
+// in the order of the fields of their type. A reader takes what it knows and
+// refuses the datagram as a whole when a value has another type.
 
 namespace tarragonbridge::pool {
 
@@ -182,7 +184,33 @@
 }
 } // namespace
 
-std::string encodeDatagram(const datagram &Datagram) {
+namespace {
+std::string write(const Value &Root) {
+  static const Json::StreamWriterBuilder Writer = [] {
+    Json::StreamWriterBuilder Builder;
+    Builder["indentation"] = "";
+    Builder["precision"] = 4;
+    return Builder;
+  }();
+  return Json::writeString(Writer, Root);
+}
+
+bool parseArray(std::string_view Text, Value &Root) {
+  Json::CharReaderBuilder Builder;
+  Builder["stackLimit"] = 16;
+  Builder["failIfExtra"] = true;
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  return Reader->parse(Text.data(), Text.data() + Text.size(), &Root,
+                       nullptr) &&
+         Root.isArray();
+}
+} // namespace
+
+std::string encodeState(const host_state &State) {
+  return write(encode(State));
+}
+
+std::string encodeDatagram(const datagram &Datagram, std::string_view State) {
   Value Beyond(Json::arrayValue);
   for (const std::uint64_t Number : Datagram.AckedBeyond) {
     Beyond.append(wide(Number));
@@ -196,24 +224,25 @@
   const Value Root =
       row(encode(Datagram.From), Datagram.FailureDomain,
           wide(Datagram.ToIncarnation), wide(Datagram.StateNumber),
-          Datagram.State ? encode(*Datagram.State) : Value(),
-          wide(Datagram.AckedUpTo), Beyond, Messages, wide(Datagram.Epoch),
-          wide(Datagram.AckedEpoch), wide(Datagram.HeardState));
-  Json::StreamWriterBuilder Writer;
-  Writer["indentation"] = "";
-  Writer["precision"] = 4;
-  return Json::writeString(Writer, Root);
+          wide(Datagram.HeardState), wide(Datagram.AckedUpTo), Beyond, Messages,
+          wide(Datagram.Epoch), wide(Datagram.AckedEpoch));
+  std::string Bytes = write(Root);
+  if (!State.empty()) {
+    Bytes += '\n';
+    Bytes += State;
+  }
+  return Bytes;
 }
 
 std::optional<datagram> decodeDatagram(std::string_view Bytes) {
-  Json::CharReaderBuilder Builder;
-  Builder["stackLimit"] = 16;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  const std::size_t HeadSize = std::min(Bytes.find('\n'), Bytes.size());
+  const std::string_view StateText =
+      Bytes.substr(std::min(HeadSize + 1, Bytes.size()));
   Value Root;
+  Value StateRoot;
   try {
-    if (!Reader->parse(Bytes.data(), Bytes.data() + Bytes.size(), &Root,
-                       nullptr) ||
-        !Root.isArray()) {
+    if (!parseArray(Bytes.substr(0, HeadSize), Root) ||
+        (!StateText.empty() && !parseArray(StateText, StateRoot))) {
       return std::nullopt;
     }
     datagram Datagram;
@@ -221,9 +250,10 @@
     Datagram.FailureDomain = Root[1].asString();
     Datagram.ToIncarnation = Root[2].asUInt64();
     Datagram.StateNumber = Root[3].asUInt64();
-    if (!Root[4].isNull()) {
-      Datagram.State = decodeState(Root[4]);
+    if (!StateText.empty()) {
+      Datagram.State = decodeState(StateRoot);
     }
+    Datagram.HeardState = Root[4].asUInt64();
     Datagram.AckedUpTo = Root[5].asUInt64();
     for (const Value &Number : Root[6]) {
       Datagram.AckedBeyond.push_back(Number.asUInt64());
@@ -234,7 +264,6 @@
     }
     Datagram.Epoch = Root[8].asUInt64();
     Datagram.AckedEpoch = Root[9].asUInt64();
-    Datagram.HeardState = Root[10].asUInt64();
     return Datagram;
   } catch (const std::exception &) {
     return std::nullopt;
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -107,7 +107,8 @@
                                                       : config::StateInterval);
 }
 
-void sendTo(step &Step, peer_host &Peer, const host_state *HostState) {
+/// @param[in] HostState its bytes, empty when none is due
+void sendTo(step &Step, peer_host &Peer, std::string_view HostState) {
   pool_state &State = Step.State;
   datagram Datagram;
   Datagram.From = Step.self();
@@ -115,13 +116,10 @@
   Datagram.ToIncarnation = Peer.Member.Host.Incarnation;
   Datagram.StateNumber = State.StateNumber;
   Datagram.HeardState = Peer.StateNumber;
-  if (HostState != nullptr) {
-    Datagram.State = *HostState;
-  }
   Step.count(counter::MessagesResent, Peer.Link.fill(Datagram, Step.Now));
   Step.count(counter::DatagramsSent);
   Step.Effects.emplace_back(
-      send_datagram{Peer.Member.Address, encodeDatagram(Datagram)});
+      send_datagram{Peer.Member.Address, encodeDatagram(Datagram, HostState)});
 }
 } // namespace
 
@@ -218,13 +216,13 @@
 void flushDatagrams(step &Step) {
   pool_state &State = Step.State;
   const bool IsStateDue = stateDueAt(State) <= Step.Now;
-  host_state HostState;
+  std::string HostState;
   if (IsStateDue) {
     ++State.StateNumber;
     State.StateSentAt = Step.Now;
     noteSent(State, Step.Now);
     State.Owner.RoomChanged = false;
-    HostState = describeRoom(State, Step.Now);
+    HostState = encodeState(describeRoom(State, Step.Now));
   }
   for (auto Entry = State.Peers.begin(); Entry != State.Peers.end();) {
     peer_host &Peer = Entry->second;
@@ -234,7 +232,7 @@
       continue;
     }
     if (IsStateDue || Peer.Link.isDue(Step.Now)) {
-      sendTo(Step, Peer, IsStateDue ? &HostState : nullptr);
+      sendTo(Step, Peer, HostState);
     }
     ++Entry;
   }
