--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -184,19 +184,23 @@
     if (!Peer->Link.accept(Number)) {
       continue;
     }
-    if (auto *Offer = std::get_if<task_offer>(&Message)) {
-      takeOffer(Step, From, std::move(*Offer));
-    } else if (auto *Refused = std::get_if<offer_refused>(&Message)) {
-      takeRefusal(Step, *Refused);
-    } else if (auto *Ended = std::get_if<task_ended>(&Message)) {
-      takeEnd(Step, *Ended);
-    } else if (auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
-      cancelTasks(Step, *Cancelled);
-    } else if (auto *Moved = std::get_if<tasks_moved>(&Message)) {
-      takeMove(Step, From, *Moved);
-    } else if (auto *Handover = std::get_if<target_handover>(&Message)) {
-      takeHandover(Step, std::move(*Handover));
-    }
+    takeMessage(Step, From, std::move(Message));
+  }
+}
+
+void takeMessage(step &Step, const host_ref &From, peer_message &&Message) {
+  if (auto *Offer = std::get_if<task_offer>(&Message)) {
+    takeOffer(Step, From, std::move(*Offer));
+  } else if (auto *Refused = std::get_if<offer_refused>(&Message)) {
+    takeRefusal(Step, *Refused);
+  } else if (auto *Ended = std::get_if<task_ended>(&Message)) {
+    takeEnd(Step, *Ended);
+  } else if (auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
+    cancelTasks(Step, *Cancelled);
+  } else if (auto *Moved = std::get_if<tasks_moved>(&Message)) {
+    takeMove(Step, From, *Moved);
+  } else if (auto *Handover = std::get_if<target_handover>(&Message)) {
+    takeHandover(Step, std::move(*Handover));
   }
 }
 
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -137,17 +137,7 @@
        ++Round) {
     peer_message Message = std::move(State.Inbox.front());
     State.Inbox.pop_front();
-    if (auto *Offer = std::get_if<task_offer>(&Message)) {
-      takeOffer(Step, Self, std::move(*Offer));
-    } else if (auto *Refused = std::get_if<offer_refused>(&Message)) {
-      takeRefusal(Step, *Refused);
-    } else if (auto *Ended = std::get_if<task_ended>(&Message)) {
-      takeEnd(Step, *Ended);
-    } else if (auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
-      cancelTasks(Step, *Cancelled);
-    } else if (auto *Moved = std::get_if<tasks_moved>(&Message)) {
-      takeMove(Step, Self, *Moved);
-    }
+    takeMessage(Step, Self, std::move(Message));
   }
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -164,6 +164,8 @@
 
 void takeMembers(step &Step, members_listed &&Listed);
 void takeDatagram(step &Step, datagram_received &&Received);
+/// Passes a message to the module that it is for.
+void takeMessage(step &Step, const host_ref &From, peer_message &&Message);
 /// Sends a message to a host, which may be this one.
 void sendMessage(step &Step, const host_ref &To, peer_message Message);
 /// Sends the datagrams that are due.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "net/address.h"
+#include "net/mhd_response.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -73,22 +74,6 @@
          std::to_string(ntohs(Address->sin_port));
 }
 
-MHD_Result queueResponse(MHD_Connection *Connection,
-                         const http_response &Response) {
-  MHD_Response *Raw = MHD_create_response_from_buffer(
-      Response.Body.size(), const_cast<char *>(Response.Body.data()),
-      MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header(Raw, MHD_HTTP_HEADER_CONTENT_TYPE,
-                          Response.ContentType.c_str());
-  for (const auto &[Name, Value] : Response.Headers) {
-    MHD_add_response_header(Raw, Name.c_str(), Value.c_str());
-  }
-  const MHD_Result Queued = MHD_queue_response(
-      Connection, static_cast<unsigned>(Response.Status), Raw);
-  MHD_destroy_response(Raw);
-  return Queued;
-}
-
 /// Gives the library the next part of a stream.
 ssize_t readStream(void *Cls, std::uint64_t /*Position*/, char *Buffer,
                    std::size_t Size) {
--- a/src/poolhost/http_entry.cpp
+++ b/src/poolhost/http_entry.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "net/address.h"
+#include "net/mhd_response.h"
 
 #include <microhttpd.h>
 #include <optional>
@@ -61,21 +62,6 @@
   return MHD_YES;
 }
 
-MHD_Result queueResponse(MHD_Connection *Connection,
-                         const entry_response &Response) {
-  MHD_Response *Raw = MHD_create_response_from_buffer(
-      Response.Body.size(), const_cast<char *>(Response.Body.data()),
-      MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header(Raw, MHD_HTTP_HEADER_CONTENT_TYPE,
-                          Response.ContentType.c_str());
-  for (const auto &[Name, Value] : Response.Headers) {
-    MHD_add_response_header(Raw, Name.c_str(), Value.c_str());
-  }
-  const MHD_Result Queued = MHD_queue_response(
-      Connection, static_cast<unsigned>(Response.Status), Raw);
-  MHD_destroy_response(Raw);
-  return Queued;
-}
 } // namespace
 
 struct http_entry::impl {
@@ -141,7 +127,7 @@
   if (Exchange->IsTooLarge) {
     ++Malformed;
     Exchange->IsAnswered = true;
-    return queueResponse(Connection, {StatusTooLarge, "{}", {}});
+    return queueResponse(Connection, entry_response{StatusTooLarge, "{}", {}});
   }
   if (!Exchange->IsHandedOver) {
     handOver(*Exchange);
