Keep the highest term of each target, own ones too, also while it is off the list

Ruled out: raising by the target's refusal alone (an equal token is accepted). Test failed first: the token after was the same as before; now it is higher.

--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -55,6 +55,7 @@
   owner_state &Owner = Step.State.Owner;
   const auto Found = Owner.Custodies.find(Target);
   target_handover Handover = Found->second.handOver(Step.Now);
+  noteTerm(Step.State.KnownTerms, Target, Found->second.term());
   Handover.Speed = Step.State.Targets[Target].Speed.speed();
   Step.log("target_handed_over",
            {{"target", Target},
@@ -71,8 +72,8 @@
            {{"target", Listed.Record.Id}, {"address", Listed.Record.Address}});
   Step.count(counter::TakeOvers);
   Step.State.Owner.Custodies.emplace(
-      Listed.Record.Id,
-      custody(Listed.Record, Step.State.HolderNumber, Listed.KnownTerm));
+      Listed.Record.Id, custody(Listed.Record, Step.State.HolderNumber,
+                                Step.State.KnownTerms[Listed.Record.Id]));
   Step.State.Owner.RoomChanged = true;
 }
 
@@ -107,6 +108,7 @@
       ++Entry;
       continue;
     }
+    noteTerm(Step.State.KnownTerms, Entry->first, Entry->second.term());
     const auto Listed = Step.State.Targets.find(Entry->first);
     if (Listed != Step.State.Targets.end()) {
       Listed->second.NotBefore = Step.Now + config::LostBackoff;
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -148,9 +148,9 @@
   Peer.State = std::move(HostState);
   dropOldReservations(Peer, Step.Now);
   for (const target_room &Room : Peer.State.Targets) {
+    noteTerm(Step.State.KnownTerms, Room.Target, Room.Term);
     const auto Listed = Step.State.Targets.find(Room.Target);
     if (Listed != Step.State.Targets.end()) {
-      Listed->second.KnownTerm = std::max(Listed->second.KnownTerm, Room.Term);
       Listed->second.ClaimedAt = Step.Now;
     }
   }
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -8,6 +8,7 @@
 #include "core/pool/speeds_p.h"
 #include "tarragonbridge/pool/pool.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -37,6 +38,12 @@
   std::deque<reservation> Reservations;
 };
 
+inline void noteTerm(std::map<std::string, std::uint64_t, std::less<>> &Terms,
+                     const std::string &Target, std::uint64_t Term) {
+  std::uint64_t &Known = Terms[Target];
+  Known = std::max(Known, Term);
+}
+
 /// @returns whether a peer was heard within a time
 inline bool wasHeard(const peer_host &Peer, boot_time Now,
                      milliseconds Within) {
@@ -48,8 +55,7 @@
   target_record Record;
   boot_time NotBefore; ///< no take-over before, after another host took it
   std::optional<boot_time> MissingSince; ///< in the platform's list
-  boot_time ClaimedAt;         ///< when another host last told that it owns it
-  std::uint64_t KnownTerm = 0; ///< highest that any owner told
+  boot_time ClaimedAt; ///< when another host last told that it owns it
   speed_estimate Speed;
   boot_time LearntAt; ///< when the speed was last measured
 };
@@ -119,6 +125,9 @@
   boot_time DealDueAt;
   boot_time SummaryDueAt;
   std::map<std::string, listed_target, std::less<>> Targets;
+  /// Highest terms that owners told or this host used, by target; kept when a
+  /// target leaves the list, since it may come back.
+  std::map<std::string, std::uint64_t, std::less<>> KnownTerms;
   std::map<std::string, double, std::less<>> KindSpeeds; ///< means
   std::map<std::string, peer_host, std::less<>> Peers;
   owner_state Owner;
--- a/tests/unit/pool_world_test.cpp
+++ b/tests/unit/pool_world_test.cpp
@@ -296,3 +296,21 @@
   }
   CHECK_THAT(World.broken(), Catch::Equals(""));
 }
+
+// Tokens of one process rise, also when it gives a target up and takes it anew:
+// an order from before would else be carried out beside the new ones.
+TEST_CASE("a target that is taken anew gets a higher token", "[pool]") {
+  world_init Init;
+  Init.Hosts = 1;
+  Init.TargetsPerDomain = 1;
+  pool_world World(Init);
+  World.settle();
+  const std::uint64_t Before = World.target(0).highestToken();
+  World.post(0, targets_listed{true, {}, {}});
+  World.runFor(500ms);
+  REQUIRE(World.figuresOf(0).TargetsOwned == 0);
+  World.listAll();
+  World.runFor(4s);
+  REQUIRE(World.figuresOf(0).TargetsOwned == 1);
+  CHECK(World.target(0).highestToken() > Before);
+}
