--- a/tests/unit/poolhost_test.cpp
+++ b/tests/unit/poolhost_test.cpp
@@ -53,3 +53,101 @@
   CHECK(Result.Status == 0);
   CHECK_FALSE(Result.WasSent);
 }
+
+namespace {
+/// Sends bytes to a server on the loop and closes. @returns the answer's start
+std::string exchangeRaw(epoll_loop &Loop, http_entry &Entry,
+                        const std::string &Address, const std::string &Bytes,
+                        bool ClosesEarly) {
+  const sockaddr_in Parsed = *parseAddress(Address);
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  connect(Socket, reinterpret_cast<const sockaddr *>(&Parsed), sizeof Parsed);
+  std::size_t Sent = 0;
+  std::string Answer;
+  std::array<char, 256> Buffer{};
+  const boot_time GiveUpAt = bootNow() + 2s;
+  while (Answer.empty() && bootNow() < GiveUpAt) {
+    const ssize_t Count =
+        send(Socket, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
+    Sent += Count > 0 ? static_cast<std::size_t>(Count) : 0;
+    Loop.runOnce(bootNow() + 2ms);
+    Entry.flush(bootNow());
+    if (ClosesEarly && Sent == Bytes.size()) {
+      break;
+    }
+    const ssize_t Got = recv(Socket, Buffer.data(), Buffer.size(), 0);
+    if (Got == 0) {
+      break;
+    }
+    Answer.assign(Buffer.data(), Got > 0 ? static_cast<std::size_t>(Got) : 0);
+  }
+  close(Socket);
+  for (int Round = 0; Round < 5; ++Round) {
+    Loop.runOnce(bootNow() + 2ms);
+    Entry.flush(bootNow());
+  }
+  return Answer.substr(0, Answer.find('\r'));
+}
+} // namespace
+
+TEST_CASE("bad input on a socket is answered or closed, and changes nothing",
+          "[pool]") {
+  struct input_case {
+    std::string Bytes;
+    bool ClosesEarly;
+    std::string Answer; ///< empty: the connection is closed
+  };
+  const std::string Head = "POST /r/1 HTTP/1.1\r\nHost: h\r\n";
+  const auto Case = GENERATE_COPY(values<input_case>({
+      {"\x01\x02 no request\r\n\r\n", false, ""},
+      {Head + "Content-Length: 9000\r\n\r\n" + std::string(9'000, 'x'), false,
+       "HTTP/1.1 413"},
+      {Head + "Content-Length: 50\r\n\r\nhalf", true, ""},
+      {Head + "Content-Len", true, ""},
+      {"POST /" + std::string(40'000, 'a') + " HTTP/1.1\r\n\r\n", false,
+       "HTTP/1.1 414"},
+      {Head + "X: " + std::string(40'000, 'a') + "\r\n\r\n", false,
+       "HTTP/1.1 431"},
+  }));
+  CAPTURE(Case.Bytes.substr(0, 60), Case.ClosesEarly);
+  const std::string Address = "127.0.0.1:19417";
+  epoll_loop Loop;
+  entry_init Init;
+  Init.Listen = Address;
+  Init.MaxBodyBytes = 1'000;
+  http_entry Entry(Loop, Init);
+  int Handled = 0;
+  tryOr(
+      [&] {
+        return Entry.start([&](request_handle, entry_request &&) { ++Handled; },
+                           [](request_handle) {});
+      },
+      [](const error &Error) { FAIL(Error.Message); });
+  const std::string Answer =
+      exchangeRaw(Loop, Entry, Address, Case.Bytes, Case.ClosesEarly);
+  CHECK_THAT(Answer, Catch::StartsWith(Case.Answer));
+  CHECK(Handled == 0);
+  CHECK(Entry.openRequests() == 0);
+}
+
+TEST_CASE("a caller that leaves is noticed while its request is held",
+          "[pool]") {
+  const std::string Address = "127.0.0.1:19418";
+  epoll_loop Loop;
+  entry_init Init;
+  Init.Listen = Address;
+  http_entry Entry(Loop, Init);
+  int Handled = 0;
+  int Left = 0;
+  tryOr(
+      [&] {
+        return Entry.start([&](request_handle, entry_request &&) { ++Handled; },
+                           [&](request_handle) { ++Left; });
+      },
+      [](const error &Error) { FAIL(Error.Message); });
+  exchangeRaw(Loop, Entry, Address, "GET /r/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+              false);
+  CHECK(Handled == 1);
+  CHECK(Left == 1);
+  CHECK(Entry.openRequests() == 0);
+}
