--- a/tests/unit/poolhost_test.cpp
+++ b/tests/unit/poolhost_test.cpp
@@ -61,7 +61,8 @@
                         bool ClosesEarly) {
   const sockaddr_in Parsed = *parseAddress(Address);
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  connect(Socket, reinterpret_cast<const sockaddr *>(&Parsed), sizeof Parsed);
+  (void)connect(Socket, reinterpret_cast<const sockaddr *>(&Parsed),
+                sizeof Parsed);
   std::size_t Sent = 0;
   std::string Answer;
   std::array<char, 256> Buffer{};
