Cancel jobs in the cancel wave only once the host has them all

The scenario sends 300 submissions, waits for 16 starts (8 jobs) and sends the cancels; each call has a connection of its own, so that a cancel may overtake its submission. It is answered 404, and the job runs on, as it should. Ruled out: a cancel lost by the daemon: with the callers' connections delayed by up to 800 ms in a scratch copy (a trial), the same check fails, and both cancels of the job that failed were answered 404 unknown_key. Change: the scenario waits until the host has counted all submissions, and expects of each cancel that it finds its job, which it did not check before.

--- a/tests/scenarios/cancel_wave.lua
+++ b/tests/scenarios/cancel_wave.lua
@@ -7,6 +7,8 @@
 for _ = 1, 300 do table.insert(jobs, session:submit { tasks = 2, run_ms = 10000 }) end
 
 world.waitFor(function() return w.t1:starts() + w.t2:starts() >= 16 end, "all slots in use")
+-- A cancel that overtakes its submission on another connection finds no job yet.
+world.waitFor(function() return w["cp-1"]:metric("^tarragonbridge_jobs_submitted_total$") >= #jobs end, "all submitted")
 local cancels = {}
 for _, job in ipairs(jobs) do
   for _ = 1, 2 do
@@ -14,6 +16,10 @@
   end
 end
 
+for _, cancel in ipairs(cancels) do
+  local result = world.waitFor(function() return runner.result(cancel) end, "an answer to a cancel")
+  world.expect(result.status ~= 404 and result.status ~= 0, "each cancel finds its job, not " .. result.status)
+end
 for _, job in ipairs(jobs) do
   local answer = job:answer()
   local isCancelled = answer.state == "failed" and answer.reason == "cancelled"
