Begin nothing that a coordinator has given up, also after a standstill

The offers were never acknowledged, so the coordinator's link goes on sending them, each message at its own pace; when the host wakes it hears the offer before the cancel, begins all tasks at once and runs them beside the new ones. Ruled out: take-overs during the pause (none was logged), datagrams from before the standstill (refused by their heard state). Change: a cancel takes its tasks out of the offers that wait in the link; an owner refuses what was cancelled by that coordinator for 1.4 s; queued tasks start only while their coordinator is heard; calls are refused by CURLOPT_PREREQFUNCTION once their time is over; the checker keeps runs by number and target.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -69,6 +69,8 @@
 // Datagrams between hosts.
 /// Older ones prove nothing: the sender may be gone.
 constexpr milliseconds MaxDatagramAge{700};
+/// Of cancelled tasks: past the age of the oldest datagram that is taken.
+constexpr milliseconds CancelMemory{2 * MaxDatagramAge};
 constexpr milliseconds StateInterval{200}; ///< at least
 constexpr milliseconds StateSpacing{30};   ///< at most one changed state within
 constexpr milliseconds ResendAfter{20};
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -84,6 +84,7 @@
   UnknownStopped,
   DatagramsSent,
   MessagesResent,
+  OrphansDropped, ///< queued tasks whose coordinator is silent
   Count
 };
 std::string_view nameOf(counter Counter);
--- a/include/tarragonbridge/pool/types.h
+++ b/include/tarragonbridge/pool/types.h
@@ -111,7 +111,7 @@
   std::string Name;
   std::uint64_t Incarnation = 0;
 
-  bool operator==(const host_ref &) const = default;
+  auto operator<=>(const host_ref &) const = default;
 };
 
 /// An entry host as registered in the platform's store.
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -130,6 +130,14 @@
       });
 }
 
+/// @returns whether nobody waits for a coordinator's tasks any more, as far as
+/// this host hears
+bool isOrphan(const pool_state &State, const host_ref &Coordinator,
+              boot_time Now) {
+  return State.Init.Rules.StopOrphans &&
+         !isHeard(State, Coordinator, Now, config::CoordinatorSilence);
+}
+
 /// Starts queued tasks as far as there is room, the most urgent first.
 void startQueued(step &Step) {
   owner_state &Owner = Step.State.Owner;
@@ -147,6 +155,10 @@
       Kept.push_back(std::move(Task));
       continue;
     }
+    if (isOrphan(Step.State, Task.Coordinator, Step.Now)) {
+      Step.count(counter::OrphansDropped);
+      continue;
+    }
     if (Task.UselessAt <= Step.Now) {
       refuse(Step, Task.Coordinator, {Task.Attempt});
       continue;
@@ -322,6 +334,7 @@
     Task.Attempt = {Offer.Job, Offered.Step, Offered.Task, Offered.Run};
     if (Step.State.IsLeaving || Owner.Custodies.empty() ||
         Owner.Queue.size() >= config::MaxQueuedTasks ||
+        Owner.Cancelled.contains({From, Task.Attempt}) ||
         hasOnly(Owner, Offered.AvoidTarget) || hasTask(Owner, Task.Attempt)) {
       Refused.push_back(std::move(Task.Attempt));
       continue;
@@ -342,24 +355,36 @@
   refuse(Step, From, std::move(Refused));
 }
 
-void cancelTasks(step &Step, const tasks_cancelled &Cancelled) {
+void cancelTasks(step &Step, const host_ref &From,
+                 const tasks_cancelled &Cancelled) {
   owner_state &Owner = Step.State.Owner;
   custody_context Context = Step.custodyContext();
   for (const attempt_ref &Attempt : Cancelled.Tasks) {
     const std::size_t Dequeued =
         std::erase_if(Owner.Queue, [&](const queued_task &Task) {
-          return Task.Attempt == Attempt;
+          return Task.Attempt == Attempt && Task.Coordinator == From;
         });
+    Owner.Cancelled[{From, Attempt}] = Step.Now;
     if (Dequeued > 0) {
       Owner.RoomChanged = true;
       continue;
     }
     for (auto &[Id, Custody] : Owner.Custodies) {
-      Custody.stop(Attempt, "cancelled", Context);
+      const auto Found = Custody.attempts().find(Attempt);
+      if (Found != Custody.attempts().end() &&
+          Found->second.Task.Coordinator == From) {
+        Custody.stop(Attempt, "cancelled", Context);
+      }
     }
   }
 }
 
+void forgetCancelled(step &Step) {
+  std::erase_if(Step.State.Owner.Cancelled, [&](const auto &Entry) {
+    return Entry.second + config::CancelMemory < Step.Now;
+  });
+}
+
 void runTargets(step &Step) {
   custody_context Context = Step.custodyContext();
   auto &Custodies = Step.State.Owner.Custodies;
@@ -423,18 +448,17 @@
 
 void stopOrphans(step &Step) {
   pool_state &State = Step.State;
-  const auto IsOrphan = [&](const host_ref &Coordinator) {
-    return State.Init.Rules.StopOrphans &&
-           !isHeard(State, Coordinator, Step.Now, config::CoordinatorSilence);
-  };
-  std::erase_if(State.Owner.Queue, [&](const queued_task &Task) {
-    return IsOrphan(Task.Coordinator);
-  });
+  const std::size_t Dropped =
+      std::erase_if(State.Owner.Queue, [&](const queued_task &Task) {
+        return isOrphan(State, Task.Coordinator, Step.Now);
+      });
+  Step.count(counter::OrphansDropped, Dropped);
   custody_context Context = Step.custodyContext();
   for (auto &[Id, Custody] : State.Owner.Custodies) {
     std::vector<attempt_ref> Orphans;
     for (const auto &[Ref, Attempt] : Custody.attempts()) {
-      if (!Attempt.IsStopWanted && IsOrphan(Attempt.Task.Coordinator)) {
+      if (!Attempt.IsStopWanted &&
+          isOrphan(State, Attempt.Task.Coordinator, Step.Now)) {
         Orphans.push_back(Ref);
       }
     }
--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -26,17 +26,37 @@
   }
   return BaseBytes;
 }
+
+/// Takes cancelled tasks out of an offer.
+void removeTasks(task_offer &Offer, const tasks_cancelled &Cancelled) {
+  std::erase_if(Offer.Tasks, [&](const offered_task &Task) {
+    const attempt_ref Offered{Offer.Job, Task.Step, Task.Task, Task.Run};
+    return std::find(Cancelled.Tasks.begin(), Cancelled.Tasks.end(), Offered) !=
+           Cancelled.Tasks.end();
+  });
+}
 } // namespace
 
 bool peer_link::push(peer_message Message, boot_time Now) {
   if (Unacked.size() >= config::MaxUnackedMessages) {
     return false;
   }
+  if (const auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
+    withdraw(*Cancelled);
+  }
   Unacked.emplace(++LastNumber, kept_message{std::move(Message), Now,
                                              config::ResendAfter, false});
   return true;
 }
 
+void peer_link::withdraw(const tasks_cancelled &Cancelled) {
+  for (auto &[Number, Kept] : Unacked) {
+    if (auto *Offer = std::get_if<task_offer>(&Kept.Message)) {
+      removeTasks(*Offer, Cancelled);
+    }
+  }
+}
+
 std::size_t peer_link::fill(datagram &Datagram, boot_time Now) {
   Datagram.Epoch = Epoch;
   Datagram.AckedEpoch = PeerEpoch;
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -19,7 +19,9 @@
   /// @param[in] Epoch higher than those of all earlier links to the peer
   explicit peer_link(std::uint64_t Epoch) : Epoch(Epoch) {}
 
-  /// Numbers a message and keeps it until the peer has acknowledged it.
+  /// Numbers a message and keeps it until the peer has acknowledged it. Offers
+  /// that wait for their acknowledgement lose the tasks that are cancelled:
+  /// sent again, they would be begun for nobody.
   /// @returns false when too many wait: the peer doesn't hear
   bool push(peer_message Message, boot_time Now);
 
@@ -47,6 +49,8 @@
   std::size_t unacknowledged() const { return Unacked.size(); }
 
 private:
+  void withdraw(const tasks_cancelled &Cancelled);
+
   struct kept_message {
     peer_message Message;
     boot_time DueAt;
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -196,7 +196,7 @@
   } else if (auto *Ended = std::get_if<task_ended>(&Message)) {
     takeEnd(Step, *Ended);
   } else if (auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
-    cancelTasks(Step, *Cancelled);
+    cancelTasks(Step, From, *Cancelled);
   } else if (auto *Moved = std::get_if<tasks_moved>(&Message)) {
     takeMove(Step, From, *Moved);
   } else if (auto *Handover = std::get_if<target_handover>(&Message)) {
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -238,6 +238,7 @@
     dealOut(Step);
     learnKinds(Step);
     stopOrphans(Step);
+    forgetCancelled(Step);
     reviewJobs(Step);
   } else if (nextJobTimer(State) <= Now) {
     reviewJobs(Step);
@@ -314,7 +315,8 @@
                "handovers_taken",
                "unknown_stopped",
                "datagrams_sent",
-               "messages_resent"};
+               "messages_resent",
+               "orphans_dropped"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -64,6 +64,8 @@
 struct owner_state {
   std::map<std::string, custody, std::less<>> Custodies; ///< by target
   std::vector<queued_task> Queue;                        ///< sorted by urgency
+  /// Lately, so that an offer that they overtook is not taken.
+  std::map<std::pair<host_ref, attempt_ref>, boot_time> Cancelled;
   task_needs TypicalNeeds; ///< of the task offered last
   bool RoomChanged = true; ///< since the latest state was sent
 };
@@ -198,13 +200,16 @@
 // Module owner: tasks on the own targets.
 
 void takeOffer(step &Step, const host_ref &From, task_offer &&Offer);
-void cancelTasks(step &Step, const tasks_cancelled &Cancelled);
+void cancelTasks(step &Step, const host_ref &From,
+                 const tasks_cancelled &Cancelled);
 /// Passes on ends, starts what is queued, sends holds that are due.
 void runTargets(step &Step);
 /// Learns the speeds of kinds of targets from those of all hosts.
 void learnKinds(step &Step);
 /// Stops the tasks of coordinators that are gone.
 void stopOrphans(step &Step);
+/// Forgets the cancelled tasks whose offers can't come any more.
+void forgetCancelled(step &Step);
 /// @returns what this host tells of its room
 host_state describeRoom(const pool_state &State, boot_time Now);
 boot_time nextTargetTimer(const pool_state &State, boot_time Now);
--- a/src/poolhost/http_calls.cpp
+++ b/src/poolhost/http_calls.cpp
@@ -24,6 +24,7 @@
   std::string RequestBody;
   std::string AnswerBody;
   http_calls::completion Done;
+  boot_time SendBefore; ///< later it would come as a surprise
 };
 
 std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
@@ -33,6 +34,14 @@
   return Size * Count;
 }
 
+/// Called once a connection is there, before anything is sent.
+int refuseLateSend(void *Cls, char * /*RemoteIp*/, char * /*LocalIp*/,
+                   int /*RemotePort*/, int /*LocalPort*/) {
+  return bootNow() < static_cast<call_state *>(Cls)->SendBefore
+             ? CURL_PREREQFUNC_OK
+             : CURL_PREREQFUNC_ABORT;
+}
+
 int setSocketOptions(void * /*Cls*/, curl_socket_t Socket,
                      curlsocktype /*Purpose*/) {
   const unsigned Timeout = SilentTimeoutMs;
@@ -132,6 +141,9 @@
   curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Call.NewConnection ? 1L : 0L);
   curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION,
                    static_cast<curl_sockopt_callback>(setSocketOptions));
+  curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION,
+                   static_cast<curl_prereq_callback>(refuseLateSend));
+  curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &State);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION,
                    static_cast<curl_write_callback>(takeBody));
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &State);
@@ -154,6 +166,7 @@
   State->Url = "http://" + Call.Address + Call.Path;
   State->RequestBody = std::move(Call.Body);
   State->Done = std::move(Done);
+  State->SendBefore = bootNow() + Call.Timeout;
   if (Impl->Idle.empty()) {
     State->Easy = curl_easy_init();
   } else {
--- a/src/poolhost/http_calls.h
+++ b/src/poolhost/http_calls.h
@@ -16,14 +16,14 @@
   std::string Path;
   std::string Body;
   std::vector<std::string> Headers; ///< whole lines
-  milliseconds Timeout{1'000};
-  bool NewConnection = false; ///< kept ones may have gone silent
+  milliseconds Timeout{1'000};      ///< from send(); what is over isn't sent
+  bool NewConnection = false;       ///< kept ones may have gone silent
 };
 
 struct call_result {
   int Status = 0; ///< 0: no answer
   std::string Body;
-  bool WasSent = true; ///< false: no connection was made, so no byte left
+  bool WasSent = true; ///< false: no byte left
 };
 
 class http_calls {
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -284,6 +284,37 @@
   }
 }
 
+// One broken rule must not make the record tell of another.
+TEST_CASE("two runs under one number each free their own room", "[pool]") {
+  using namespace emulator;
+  const boot_time Start{100s};
+  const auto ProfileOf = [](const attempt_ref &) {
+    return task_profile{Half, 100ms};
+  };
+  rules_checker Checker(3s, 2s);
+  for (const char *Id : {"t", "u"}) {
+    target_model_init Target;
+    Target.Id = Id;
+    Target.Service = "desk";
+    Checker.addTarget(Target);
+  }
+  Checker.noteSubmitted({"j", {"desk"}, {{0, 5}}, 2, false});
+  const auto Note = [&](target_event::kind Kind, const char *Target,
+                        std::uint32_t Task) {
+    Checker.noteTarget({Kind, Start, Target, {"j", 0, Task, 1}}, ProfileOf);
+  };
+  Note(target_event::kind::Started, "t", 0);
+  Note(target_event::kind::Started, "u", 0);
+  REQUIRE(Checker.broken().size() == 1);
+  Note(target_event::kind::Ended, "t", 0);
+  Note(target_event::kind::Ended, "u", 0);
+  for (const std::uint32_t Task : {1U, 2U}) {
+    Note(target_event::kind::Started, "t", Task);
+    Note(target_event::kind::Started, "u", Task + 2);
+  }
+  CHECK(Checker.broken().size() == 1);
+}
+
 TEST_CASE("the modelled store keeps conditions, leases and history", "[pool]") {
   emulator::kv_model Keys;
   const boot_time Start{10s};
--- a/tests/unit/pool_world_test.cpp
+++ b/tests/unit/pool_world_test.cpp
@@ -314,3 +314,77 @@
   REQUIRE(World.figuresOf(0).TargetsOwned == 1);
   CHECK(World.target(0).highestToken() > Before);
 }
+
+// A start that came back refused after a standstill: its coordinator has given
+// the task up meanwhile, and its caller may have sent the job elsewhere.
+TEST_CASE("a host that wakes begins nothing for a silent coordinator",
+          "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"long", 6};
+  Job.Work = 2s;
+  World.cutFromTargets(0);
+  World.submit(1, Job);
+  for (int Step = 0; Step < 20 && World.figuresOf(0).AttemptsRunning == 0;
+       ++Step) {
+    World.runFor(1ms);
+  }
+  REQUIRE(World.figuresOf(0).AttemptsRunning > 0);
+  World.freeze(0);
+  const order_outcome Outcome =
+      GENERATE(order_outcome::NotSent, order_outcome::NoRoom);
+  INFO(nameOf(Outcome));
+  // What it finds first when it wakes: the answer to the last task's start.
+  World.post(0, start_answered{"t0-2",
+                               {Job.Id, 0, Job.Tasks - 1, 1},
+                               World.target(2).highestToken(),
+                               Outcome,
+                               std::nullopt});
+  World.runFor(1'300ms);
+  const std::uint64_t Before = World.counted(counter::AttemptsStarted);
+  World.heal();
+  World.wake(0);
+  World.runFor(5ms);
+  CHECK(World.counted(counter::StartsRefused) > 0);
+  CHECK(World.counted(counter::AttemptsStarted) == Before);
+}
+
+// An offer that wasn't acknowledged is sent again and again: once its job is
+// given up, it must not arrive before the word that it is.
+TEST_CASE("a host that wakes takes no offer of a job given up meanwhile",
+          "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.Seed = GENERATE(1U, 2U, 3U);
+  const milliseconds Standstill =
+      GENERATE(1'000ms, 1'100ms, 1'200ms, 1'300ms, 1'400ms, 1'500ms, 2'200ms);
+  CAPTURE(Init.Seed, Standstill.count());
+  pool_world World(Init);
+  World.settle();
+  World.freeze(0);
+  world_job Job{"wide", 8};
+  const request_handle Request = World.submit(1, Job);
+  World.runFor(Standstill);
+  REQUIRE(World.answerOf(Request) == answer_kind::JobAbandoned);
+  const std::uint64_t Before = World.startsSeen();
+  World.wake(0);
+  World.runFor(2s);
+  CHECK(World.startsSeen() == Before);
+}
+
+TEST_CASE("a cancel that overtakes its offer holds", "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.Seed = GENERATE(range(1U, 12U));
+  CAPTURE(Init.Seed);
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"wide", 8};
+  Job.Work = 2s;
+  const request_handle Request = World.submit(1, Job);
+  World.leave(1, Request);
+  World.runFor(60ms);
+  CHECK(World.isEverythingIdle());
+}
--- a/tests/unit/poolhost_test.cpp
+++ b/tests/unit/poolhost_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <thread>
 
 using namespace tarragonbridge;
 using namespace tarragonbridge::poolhost;
@@ -54,6 +55,39 @@
   CHECK_FALSE(Result.WasSent);
 }
 
+// A host that stood still would else carry out orders from before, which their
+// coordinator has long given up and the caller has sent again elsewhere.
+TEST_CASE("a call whose time is over before it leaves isn't sent", "[pool]") {
+  epoll_loop Loop;
+  closing_server Server;
+  http_calls Calls(Loop, 4);
+  const bool HasKeptConnection = GENERATE(false, true);
+  if (HasKeptConnection) {
+    REQUIRE(sendAndWait(Loop, Calls, Server.address()).Status == 200);
+  }
+  const int Before = Server.bodiesRead();
+  std::optional<call_result> Result;
+  outgoing_call Call;
+  Call.Method = "POST";
+  Call.Address = Server.address();
+  Call.Path = "/";
+  Call.Body = "BODY";
+  Call.Timeout = 50ms;
+  Calls.send(std::move(Call),
+             [&](call_result &&Got) { Result = std::move(Got); });
+  std::this_thread::sleep_for(120ms);
+  const boot_time WatchUntil = bootNow() + 300ms;
+  while (bootNow() < WatchUntil) {
+    Loop.runOnce(std::min(Calls.nextDue(), WatchUntil));
+    Calls.onTimer();
+    Calls.completeCalls();
+  }
+  REQUIRE(Result);
+  CHECK(Result->Status == 0);
+  CHECK_FALSE(Result->WasSent);
+  CHECK(Server.bodiesRead() == Before);
+}
+
 namespace {
 /// Sends bytes to a server on the loop and closes. @returns the answer's start
 std::string exchangeRaw(epoll_loop &Loop, http_entry &Entry,
--- a/tools/emulator/rules.cpp
+++ b/tools/emulator/rules.cpp
@@ -86,7 +86,7 @@
   const task_key Task{Attempt.Job, Attempt.Step, Attempt.Task};
   if (!Running[Task].empty()) {
     add(rule::Twice, Event.At,
-        What + ", also at " + Running[Task].begin()->second.Target);
+        What + ", also at " + Running[Task].begin()->first.second);
   }
   if (Record.Job.IsKept && Failures[Task] >= Record.Job.MaxAttempts) {
     add(rule::Budget, Event.At, What);
@@ -96,7 +96,7 @@
   if (!InUse.fitsIn(Target.Capacity)) {
     add(rule::Limit, Event.At, What);
   }
-  Running[Task][Attempt.Run] = {Event.Target, Profile.Needs};
+  Running[Task][{Attempt.Run, Event.Target}] = Profile.Needs;
 }
 
 void rules_checker::noteTarget(
@@ -111,9 +111,9 @@
   if (Event.End == attempt_end::Failed) {
     ++Failures[Task];
   }
-  const auto Found = Running[Task].find(Event.Attempt.Run);
-  if (Found != Running[Task].end() && Found->second.Target == Event.Target) {
-    Used[Event.Target] -= Found->second.Needs;
+  const auto Found = Running[Task].find({Event.Attempt.Run, Event.Target});
+  if (Found != Running[Task].end()) {
+    Used[Event.Target] -= Found->second;
     Running[Task].erase(Found);
   }
 }
--- a/tools/emulator/rules.h
+++ b/tools/emulator/rules.h
@@ -74,10 +74,8 @@
     bool HasStarted = false;
     std::optional<boot_time> CancelledAt;
   };
-  struct running_attempt {
-    std::string Target;
-    task_needs Needs;
-  };
+  /// A run at a target: two coordinators may number theirs alike.
+  using run_key = std::pair<std::uint32_t, std::string>;
   using task_key = std::tuple<std::string, std::uint32_t, std::uint32_t>;
 
   void add(rule Rule, boot_time At, std::string What);
@@ -89,7 +87,7 @@
   std::map<std::string, boot_time> DrainingSince;
   std::map<std::string, job_record> Jobs;
   std::map<std::string, task_needs> Used; ///< by target
-  std::map<task_key, std::map<std::uint32_t, running_attempt>> Running;
+  std::map<task_key, std::map<run_key, task_needs>> Running;
   std::map<task_key, std::uint32_t> Failures;
   std::vector<broken_rule> Broken;
 };
