--- a/tests/scenarios/lib/pool.lua
+++ b/tests/scenarios/lib/pool.lua
@@ -39,11 +39,18 @@
   local host = setmetatable({ name = "pool-" .. number, domain = domain }, Host)
   local ip = network .. number
   local function own() return freeAddress(number) end
-  host.callers, host.ready, host.control = own(), own(), own()
+    host.callers, host.ready, host.control = own(), own(), own()
+  local store = pool.store
+  if pool.isProxied then
+    host.callerLink = world.link("callers-of-" .. host.name, host.callers)
+    host.storeLink = world.link("store-of-" .. host.name, store)
+    store = host.storeLink.address
+  end
+
   host.settings = runner.writeFile(host.name .. ".conf", table.concat({
     "nodeName=" .. host.name, "zone=" .. domain, "ipAddress=" .. ip,
     "listenAddresses.front=" .. host.callers, "listenAddresses.ready=" .. host.ready,
-    "listenAddresses.control=" .. host.control, "platform.address=" .. pool.store,
+    "listenAddresses.control=" .. host.control, "platform.address=" .. store,
     "internalPortRange=" .. pool.peerPort .. "," .. pool.peerPort, "bounds.holdMaxMs=1000",
     "bounds.graceS=6", "a.field.that.is.unknown=1", "" }, "\n"))
   host:launch()
@@ -64,10 +71,10 @@
 function Host:resume() self:signal("CONT") end
 -- Ends a host by SIGTERM; nothing there may be cut off. @returns the exit code
 function Host:terminate()
-  admin("/planned", { host = self.callers, on = true })
+    self:setPlanned(true)
   self:signal("TERM")
   local code = runner.wait(self.process, BOUND_MS)
-  admin("/planned", { host = self.callers, on = false })
+  self:setPlanned(false)
   return code
 end
 function Host:isReady() return world.call("GET", self.ready, "/-/readiness").status == 200 end
@@ -84,9 +91,16 @@
   pool.store, pool.admin = freeAddress(platform), freeAddress(platform)
   pool.peerPort = freePort()
   local targets = {}
-  for _ = 1, options.targets or 6 do table.insert(targets, freeAddress(platform)) end
+    for _ = 1, options.targets or 6 do table.insert(targets, freeAddress(platform)) end
+  pool.isProxied, pool.targetLinks = options.isProxied, {}
+  local published = {}
+  for index, address in ipairs(pool.isProxied and targets or {}) do
+    pool.targetLinks[index] = world.link("target-" .. index - 1, address)
+    published[index] = pool.targetLinks[index].address
+  end
+
   runner.start("platform", "platform_emulator", "--store", pool.store, "--admin", pool.admin,
-    "--targets", table.concat(targets, ","), "--seed", tostring(runner.seed),
+    "--targets", table.concat(targets, ","), "--published", table.concat(published, ","), "--seed", tostring(runner.seed),
     "--speeds", options.speeds or "1")
   world.waitFor(function() return world.call("GET", pool.admin, "/report").status == 200 end, "the platform")
   for number = 1, options.hosts or 3 do
@@ -100,7 +114,9 @@
 function pool.run(seconds, options)
   local order = options or {}
   order.seconds, order.hosts = seconds, {}
-  for _, host in ipairs(pool.hosts) do table.insert(order.hosts, host.callers) end
+  for _, host in ipairs(pool.hosts) do
+    table.insert(order.hosts, host.callerLink and host.callerLink.address or host.callers)
+  end
   admin("/run", order)
   pool.endsAtMs = runner.now() + seconds * 1000
 end
@@ -117,6 +133,11 @@
   return report
 end
 
+-- Planned work begins or ends at a host: nothing there may be cut off.
+function Host:setPlanned(on)
+  admin("/planned", { host = self.callerLink and self.callerLink.address or self.callers, on = on })
+end
+
 -- Expects that at least a part of the jobs was served.
 function pool.expectServed(report, part)
   world.expect(report.served >= part * report.asked,
--- a/tests/scenarios/lib/world.lua
+++ b/tests/scenarios/lib/world.lua
@@ -79,8 +79,9 @@
   return setmetatable({ name = name, address = runner.decode(answer.body).listen }, Link)
 end
 
--- The store ------------------------------------------------------------------
+world.link = link
 
+-- The store ------------------------------------------------------------------
 local Store = {}
 Store.__index = Store
 
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -38,7 +38,9 @@
 struct emulator_init {
   std::string StoreAddress;
   std::string AdminAddress;
-  std::vector<std::string> Targets; ///< addresses
+  std::vector<std::string> Targets;   ///< addresses to listen at
+  std::vector<std::string> Published; ///< addresses in the store; else the same
+
   std::vector<std::string> FailureDomains;
   std::vector<double> Speeds{1.0};
   std::uint64_t Seed = 1;
@@ -107,7 +109,8 @@
       return Callers ? Callers->profileOf(Attempt) : task_profile{};
     };
     Targets.push_back(std::make_unique<target_server>(
-        Loop, Schedule, Store, Target, Init.Targets[Index],
+        Loop, Schedule, Store, Target,
+        target_addresses{Init.Targets[Index], Init.Published[Index]},
         [this, ProfileOf](const target_event &Event) {
           Starts += Event.Kind == target_event::kind::Started ? 1 : 0;
           Checker.noteTarget(Event, ProfileOf);
@@ -373,6 +376,9 @@
                                      true, "", "address", Line);
   TCLAP::ValueArg<std::string> Targets(
       "", "targets", "IP and port of each target", true, "", "list", Line);
+  TCLAP::ValueArg<std::string> Published(
+      "", "published", "addresses of the targets in the store, if others",
+      false, "", "list", Line);
   TCLAP::ValueArg<std::string> Domains("", "failure-domains", "names", false,
                                        "east,west", "list", Line);
   TCLAP::ValueArg<std::string> Speeds("", "speeds", "of the targets, in turn",
@@ -384,6 +390,10 @@
   Init.StoreAddress = Store.getValue();
   Init.AdminAddress = Admin.getValue();
   Init.Targets = splitList(Targets.getValue());
+  Init.Published = splitList(Published.getValue());
+  if (Init.Published.size() != Init.Targets.size()) {
+    Init.Published = Init.Targets;
+  }
   Init.FailureDomains = splitList(Domains.getValue());
   Init.Speeds.clear();
   for (const std::string &Speed : splitList(Speeds.getValue())) {
--- a/tools/emulator/target_server.cpp
+++ b/tools/emulator/target_server.cpp
@@ -72,10 +72,11 @@
 
 target_server::target_server(poolhost::epoll_loop &Loop, schedule &Schedule,
                              store_server &Store, target_model_init Init,
-                             std::string Given, target_model::recorder Record,
+                             target_addresses Given,
+                             target_model::recorder Record,
                              profile_lookup Profiles, std::uint64_t Seed)
-    : Schedule(Schedule), Store(Store), Address(std::move(Given)),
-      Entry(Loop, {Address, ""}),
+    : Schedule(Schedule), Store(Store), Addresses(std::move(Given)),
+      Entry(Loop, {Addresses.Listen, ""}),
       Model(std::move(Init), bootNow(), wallNow().time_since_epoch().count(),
             std::move(Record)),
       Profiles(std::move(Profiles)), Random(Seed) {}
@@ -239,7 +240,7 @@
 }
 
 void target_server::report(boot_time Now) {
-  const pool::target_record Record = Model.record(Address);
+  const pool::target_record Record = Model.record(Addresses.Published);
   Json::Value Body;
   Body["service"] = Record.Service;
   Body["address"] = Record.Address;
--- a/tools/emulator/target_server.h
+++ b/tools/emulator/target_server.h
@@ -19,6 +19,11 @@
   bool IsMute = false;   ///< no call gets an answer or does anything
 };
 
+struct target_addresses {
+  std::string Listen;
+  std::string Published; ///< what the store tells; may lead through a proxy
+};
+
 /// One target: its model, its server and its entry in the store.
 class target_server {
 public:
@@ -26,7 +31,7 @@
 
   target_server(poolhost::epoll_loop &Loop, schedule &Schedule,
                 store_server &Store, target_model_init Init,
-                std::string Address, target_model::recorder Record,
+                target_addresses Addresses, target_model::recorder Record,
                 profile_lookup Profiles, std::uint64_t Seed);
 
   /// @param[in] BeforeStart called before a task starts, so that the ends at
@@ -64,7 +69,7 @@
 
   schedule &Schedule;
   store_server &Store;
-  std::string Address;
+  target_addresses Addresses;
   poolhost::http_entry Entry;
   target_model Model;
   profile_lookup Profiles;
