--- a/src/core/pool/dealing.cpp
+++ b/src/core/pool/dealing.cpp
@@ -6,27 +6,36 @@
 namespace tarragonbridge::pool {
 
 namespace {
-std::uint64_t score(const std::string &Target, const std::string &Host) {
-  return XXH3_64bits_withSeed(Target.data(), Target.size(),
-                              XXH3_64bits(Host.data(), Host.size()));
+std::uint64_t hashOf(const std::string &Name, std::uint64_t Seed) {
+  return XXH3_64bits_withSeed(Name.data(), Name.size(), Seed);
 }
 
 /// Gives each target to the host with the highest score that is not full.
 void dealDomain(const std::vector<std::string> &Targets,
                 const std::vector<std::string> &Hosts,
                 std::map<std::string, std::string> &Owners) {
+  struct candidate {
+    const std::string *Name;
+    std::uint64_t Hash;
+    std::size_t Room;
+  };
   const std::size_t Most = (Targets.size() + Hosts.size() - 1) / Hosts.size();
-  std::map<std::string, std::size_t> Counts;
+  std::vector<candidate> Candidates;
+  for (const std::string &Host : Hosts) {
+    Candidates.push_back({&Host, hashOf(Host, 0), Most});
+  }
   for (const std::string &Target : Targets) {
-    const std::string *Best = nullptr;
-    for (const std::string &Host : Hosts) {
-      if (Counts[Host] < Most &&
-          (Best == nullptr || score(Target, Host) > score(Target, *Best))) {
+    candidate *Best = nullptr;
+    std::uint64_t BestScore = 0;
+    for (candidate &Host : Candidates) {
+      const std::uint64_t Score = Host.Room > 0 ? hashOf(Target, Host.Hash) : 0;
+      if (Host.Room > 0 && (Best == nullptr || Score > BestScore)) {
         Best = &Host;
+        BestScore = Score;
       }
     }
-    ++Counts[*Best];
-    Owners.emplace(Target, *Best);
+    --Best->Room;
+    Owners.emplace(Target, *Best->Name);
   }
 }
 } // namespace
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -1,63 +1,84 @@
 #include "tarragonbridge/pool/peer_messages.h"
 
-#include <json/json.h>
+#include <boost/json.hpp>
 
 #include <algorithm>
-#include <memory>
+#include <array>
+#include <cmath>
 #include <stdexcept>
 
 // Datagrams are JSON texts: a line with head and messages, and a second one
 // with the sender's state where there is one. Rows of values stand as arrays,
 // in the order of the fields of their type. A reader takes what it knows and
-// refuses the datagram as a whole when a value has another type.
+// refuses the datagram as a whole when a value has another type. Boost.JSON, as
+// most of a host's processor time would else go into these texts.
 
 namespace tarragonbridge::pool {
 
 namespace {
-using Json::Value;
+using boost::json::array;
+using boost::json::value;
 
-template <class... Ts> Value row(const Ts &...Values) {
-  Value Row(Json::arrayValue);
-  (Row.append(Value(Values)), ...);
+/// Speeds stand as whole numbers of this part of one.
+constexpr double SpeedUnit = 1e-4;
+
+template <class... Ts> array row(Ts &&...Values) {
+  array Row;
+  Row.reserve(sizeof...(Values));
+  (Row.emplace_back(std::forward<Ts>(Values)), ...);
   return Row;
 }
 
-Json::Int64 count(milliseconds Time) { return Time.count(); }
-milliseconds time(const Value &Node) { return milliseconds(Node.asInt64()); }
-Json::UInt64 wide(std::uint64_t Number) { return Number; }
+std::int64_t count(milliseconds Time) { return Time.count(); }
+std::int64_t speed(double Speed) { return std::llround(Speed / SpeedUnit); }
 
-Value encode(const task_needs &Needs) {
-  return row(Json::Int64(Needs.CpuMilli), Json::Int64(Needs.MemoryMb),
-             Json::Int64(Needs.Accelerators));
+const value &at(const value &Row, std::size_t Index) {
+  return Row.as_array().at(Index);
+}
+std::string text(const value &Node) {
+  return std::string(std::string_view(Node.as_string()));
+}
+template <class T> T number(const value &Node) { return Node.to_number<T>(); }
+std::uint64_t wide(const value &Node) { return number<std::uint64_t>(Node); }
+milliseconds time(const value &Node) {
+  return milliseconds(number<std::int64_t>(Node));
 }
-task_needs decodeNeeds(const Value &Row) {
-  return {Row[0].asInt64(), Row[1].asInt64(), Row[2].asInt64()};
+double speed(const value &Node) {
+  return static_cast<double>(number<std::int64_t>(Node)) * SpeedUnit;
 }
 
-Value encode(const attempt_ref &Attempt) {
-  return row(Attempt.Job, Attempt.Step, Attempt.Task, Attempt.Run);
+array encode(const task_needs &Needs) {
+  return row(std::int64_t(Needs.CpuMilli), std::int64_t(Needs.MemoryMb),
+             std::int64_t(Needs.Accelerators));
 }
-attempt_ref decodeAttempt(const Value &Row) {
-  return {Row[0].asString(), Row[1].asUInt(), Row[2].asUInt(), Row[3].asUInt()};
+task_needs decodeNeeds(const value &Row) {
+  return {number<std::int64_t>(at(Row, 0)), number<std::int64_t>(at(Row, 1)),
+          number<std::int64_t>(at(Row, 2))};
 }
 
-Value encode(const host_ref &Host) {
-  return row(Host.Name, wide(Host.Incarnation));
+array encode(const attempt_ref &Attempt) {
+  return row(Attempt.Job, Attempt.Step, Attempt.Task, Attempt.Run);
 }
-host_ref decodeHost(const Value &Row) {
-  return {Row[0].asString(), Row[1].asUInt64()};
+attempt_ref decodeAttempt(const value &Row) {
+  return {text(at(Row, 0)), number<std::uint32_t>(at(Row, 1)),
+          number<std::uint32_t>(at(Row, 2)), number<std::uint32_t>(at(Row, 3))};
 }
 
-Value encode(const std::vector<attempt_ref> &Attempts) {
-  Value Rows(Json::arrayValue);
+array encode(const host_ref &Host) { return row(Host.Name, Host.Incarnation); }
+host_ref decodeHost(const value &Row) {
+  return {text(at(Row, 0)), wide(at(Row, 1))};
+}
+
+array encode(const std::vector<attempt_ref> &Attempts) {
+  array Rows;
   for (const attempt_ref &Attempt : Attempts) {
-    Rows.append(encode(Attempt));
+    Rows.emplace_back(encode(Attempt));
   }
   return Rows;
 }
-std::vector<attempt_ref> decodeAttempts(const Value &Rows) {
+std::vector<attempt_ref> decodeAttempts(const value &Rows) {
   std::vector<attempt_ref> Attempts;
-  for (const Value &Row : Rows) {
+  for (const value &Row : Rows.as_array()) {
     Attempts.push_back(decodeAttempt(Row));
   }
   return Attempts;
@@ -65,96 +86,99 @@
 
 // Messages: ["kind", fields...].
 
-Value encode(const task_offer &Offer) {
-  Value Tasks(Json::arrayValue);
+array encode(const task_offer &Offer) {
+  array Tasks;
   for (const offered_task &Task : Offer.Tasks) {
-    Tasks.append(row(Task.Step, Task.Task, Task.Run, encode(Task.Needs),
-                     count(Task.Expected), count(Task.EndBy),
-                     count(Task.UselessIn), Task.MayQueue, Task.AvoidTarget));
+    Tasks.emplace_back(row(Task.Step, Task.Task, Task.Run, encode(Task.Needs),
+                           count(Task.Expected), count(Task.EndBy),
+                           count(Task.UselessIn), Task.MayQueue,
+                           Task.AvoidTarget));
   }
   return row("offer", Offer.Job, Offer.Service, Offer.Priority,
              Offer.Specification, Tasks);
 }
-task_offer decodeOffer(const Value &Row) {
-  task_offer Offer{Row[1].asString(),
-                   Row[2].asString(),
-                   Row[3].asInt(),
-                   Row[4].asString(),
+task_offer decodeOffer(const value &Row) {
+  task_offer Offer{text(at(Row, 1)),
+                   text(at(Row, 2)),
+                   number<int>(at(Row, 3)),
+                   text(at(Row, 4)),
                    {}};
-  for (const Value &Task : Row[5]) {
-    Offer.Tasks.push_back({Task[0].asUInt(), Task[1].asUInt(), Task[2].asUInt(),
-                           decodeNeeds(Task[3]), time(Task[4]), time(Task[5]),
-                           time(Task[6]), Task[7].asBool(),
-                           Task[8].asString()});
+  for (const value &Task : at(Row, 5).as_array()) {
+    Offer.Tasks.push_back(
+        {number<std::uint32_t>(at(Task, 0)), number<std::uint32_t>(at(Task, 1)),
+         number<std::uint32_t>(at(Task, 2)), decodeNeeds(at(Task, 3)),
+         time(at(Task, 4)), time(at(Task, 5)), time(at(Task, 6)),
+         at(Task, 7).as_bool(), text(at(Task, 8))});
   }
   return Offer;
 }
 
-Value encode(const offer_refused &Refused) {
+array encode(const offer_refused &Refused) {
   return row("refused", encode(Refused.Tasks));
 }
 
-Value encode(const task_ended &Ended) {
+array encode(const task_ended &Ended) {
   return row("ended", encode(Ended.Attempt), static_cast<unsigned>(Ended.End),
              Ended.Target, count(Ended.Ran));
 }
-task_ended decodeEnded(const Value &Row) {
-  const unsigned End = Row[2].asUInt();
+task_ended decodeEnded(const value &Row) {
+  const unsigned End = number<std::uint32_t>(at(Row, 2));
   if (End > static_cast<unsigned>(attempt_end::NotStarted)) {
     throw std::out_of_range("kind of end");
   }
-  return {decodeAttempt(Row[1]), static_cast<attempt_end>(End),
-          Row[3].asString(), time(Row[4])};
+  return {decodeAttempt(at(Row, 1)), static_cast<attempt_end>(End),
+          text(at(Row, 3)), time(at(Row, 4))};
 }
 
-Value encode(const tasks_cancelled &Cancelled) {
+array encode(const tasks_cancelled &Cancelled) {
   return row("cancelled", encode(Cancelled.Tasks));
 }
 
-Value encode(const tasks_moved &Moved) {
+array encode(const tasks_moved &Moved) {
   return row("moved", encode(Moved.Tasks));
 }
 
-Value encode(const target_handover &Handover) {
-  Value Attempts(Json::arrayValue);
+array encode(const target_handover &Handover) {
+  array Attempts;
   for (const handed_attempt &Handed : Handover.Attempts) {
-    Attempts.append(row(encode(Handed.Attempt), encode(Handed.Coordinator),
-                        encode(Handed.Needs), count(Handed.Expected),
-                        count(Handed.Age), Handed.IsConfirmed));
+    Attempts.emplace_back(row(encode(Handed.Attempt),
+                              encode(Handed.Coordinator), encode(Handed.Needs),
+                              count(Handed.Expected), count(Handed.Age),
+                              Handed.IsConfirmed));
   }
-  return row("handover", Handover.Target, wide(Handover.Token),
-             wide(Handover.LastEnd), Json::Int64(Handover.Incarnation),
-             Handover.Speed, Attempts);
+  return row("handover", Handover.Target, Handover.Token, Handover.LastEnd,
+             std::int64_t(Handover.Incarnation), speed(Handover.Speed),
+             Attempts);
 }
-target_handover decodeHandover(const Value &Row) {
-  target_handover Handover{Row[1].asString(), Row[2].asUInt64(),
-                           Row[3].asUInt64(), Row[4].asInt64(),
-                           Row[5].asDouble(), {}};
-  for (const Value &Handed : Row[6]) {
-    Handover.Attempts.push_back({decodeAttempt(Handed[0]),
-                                 decodeHost(Handed[1]), decodeNeeds(Handed[2]),
-                                 time(Handed[3]), time(Handed[4]),
-                                 Handed[5].asBool()});
+target_handover decodeHandover(const value &Row) {
+  target_handover Handover{text(at(Row, 1)),  wide(at(Row, 2)),
+                           wide(at(Row, 3)),  number<std::int64_t>(at(Row, 4)),
+                           speed(at(Row, 5)), {}};
+  for (const value &Handed : at(Row, 6).as_array()) {
+    Handover.Attempts.push_back(
+        {decodeAttempt(at(Handed, 0)), decodeHost(at(Handed, 1)),
+         decodeNeeds(at(Handed, 2)), time(at(Handed, 3)), time(at(Handed, 4)),
+         at(Handed, 5).as_bool()});
   }
   return Handover;
 }
 
-peer_message decodeMessage(const Value &Row) {
-  const std::string Kind = Row[0].asString();
+peer_message decodeMessage(const value &Row) {
+  const std::string Kind = text(at(Row, 0));
   if (Kind == "offer") {
     return decodeOffer(Row);
   }
   if (Kind == "refused") {
-    return offer_refused{decodeAttempts(Row[1])};
+    return offer_refused{decodeAttempts(at(Row, 1))};
   }
   if (Kind == "ended") {
     return decodeEnded(Row);
   }
   if (Kind == "cancelled") {
-    return tasks_cancelled{decodeAttempts(Row[1])};
+    return tasks_cancelled{decodeAttempts(at(Row, 1))};
   }
   if (Kind == "moved") {
-    return tasks_moved{decodeAttempts(Row[1])};
+    return tasks_moved{decodeAttempts(at(Row, 1))};
   }
   if (Kind == "handover") {
     return decodeHandover(Row);
@@ -162,71 +186,62 @@
   throw std::out_of_range("kind of message");
 }
 
-Value encode(const host_state &State) {
-  Value Targets(Json::arrayValue);
+array encode(const host_state &State) {
+  array Targets;
   for (const target_room &Room : State.Targets) {
-    Targets.append(row(Room.Target, Room.Service, encode(Room.Free), Room.Speed,
-                       Room.IsSpeedKnown, Room.IsUsable, wide(Room.Term)));
+    Targets.emplace_back(row(Room.Target, Room.Service, encode(Room.Free),
+                             speed(Room.Speed), Room.IsSpeedKnown,
+                             Room.IsUsable, Room.Term));
   }
-  return row(State.IsLeaving, Json::Int64(State.ConfigurationVersion),
+  return row(State.IsLeaving, std::int64_t(State.ConfigurationVersion),
              count(State.Wait), State.Slots, Targets);
 }
-host_state decodeState(const Value &Row) {
-  host_state State{
-      Row[0].asBool(), Row[1].asInt64(), time(Row[2]), Row[3].asUInt(), {}};
-  for (const Value &Room : Row[4]) {
-    State.Targets.push_back({Room[0].asString(), Room[1].asString(),
-                             decodeNeeds(Room[2]), Room[3].asDouble(),
-                             Room[4].asBool(), Room[6].asUInt64(),
-                             Room[5].asBool()});
+host_state decodeState(const value &Row) {
+  host_state State{at(Row, 0).as_bool(),
+                   number<std::int64_t>(at(Row, 1)),
+                   time(at(Row, 2)),
+                   number<std::uint32_t>(at(Row, 3)),
+                   {}};
+  for (const value &Room : at(Row, 4).as_array()) {
+    State.Targets.push_back({text(at(Room, 0)), text(at(Room, 1)),
+                             decodeNeeds(at(Room, 2)), speed(at(Room, 3)),
+                             at(Room, 4).as_bool(), wide(at(Room, 6)),
+                             at(Room, 5).as_bool()});
   }
   return State;
 }
 } // namespace
 
 namespace {
-std::string write(const Value &Root) {
-  static const Json::StreamWriterBuilder Writer = [] {
-    Json::StreamWriterBuilder Builder;
-    Builder["indentation"] = "";
-    Builder["precision"] = 4;
-    return Builder;
-  }();
-  return Json::writeString(Writer, Root);
-}
-
-bool parseArray(std::string_view Text, Value &Root) {
-  Json::CharReaderBuilder Builder;
-  Builder["stackLimit"] = 16;
-  Builder["failIfExtra"] = true;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  return Reader->parse(Text.data(), Text.data() + Text.size(), &Root,
-                       nullptr) &&
-         Root.isArray();
+/// Parses a text; its values lie in a buffer of the caller's.
+value parse(std::string_view Text, boost::json::monotonic_resource &Memory) {
+  constexpr std::size_t MaxDepth = 16;
+  boost::json::parse_options Options;
+  Options.max_depth = MaxDepth;
+  return boost::json::parse(Text, &Memory, Options);
 }
 } // namespace
 
 std::string encodeState(const host_state &State) {
-  return write(encode(State));
+  return boost::json::serialize(encode(State));
 }
 
 std::string encodeDatagram(const datagram &Datagram, std::string_view State) {
-  Value Beyond(Json::arrayValue);
+  array Beyond;
   for (const std::uint64_t Number : Datagram.AckedBeyond) {
-    Beyond.append(wide(Number));
+    Beyond.emplace_back(Number);
   }
-  Value Messages(Json::arrayValue);
+  array Messages;
   for (const auto &[Number, Message] : Datagram.Messages) {
-    Messages.append(row(
-        wide(Number),
-        std::visit([](const auto &Kind) { return encode(Kind); }, Message)));
+    Messages.emplace_back(
+        row(Number, std::visit([](const auto &Kind) { return encode(Kind); },
+                               Message)));
   }
-  const Value Root =
-      row(encode(Datagram.From), Datagram.FailureDomain,
-          wide(Datagram.ToIncarnation), wide(Datagram.StateNumber),
-          wide(Datagram.HeardState), wide(Datagram.AckedUpTo), Beyond, Messages,
-          wide(Datagram.Epoch), wide(Datagram.AckedEpoch));
-  std::string Bytes = write(Root);
+  const array Root =
+      row(encode(Datagram.From), Datagram.FailureDomain, Datagram.ToIncarnation,
+          Datagram.StateNumber, Datagram.HeardState, Datagram.AckedUpTo, Beyond,
+          Messages, Datagram.Epoch, Datagram.AckedEpoch);
+  std::string Bytes = boost::json::serialize(Root);
   if (!State.empty()) {
     Bytes += '\n';
     Bytes += State;
@@ -238,32 +253,30 @@
   const std::size_t HeadSize = std::min(Bytes.find('\n'), Bytes.size());
   const std::string_view StateText =
       Bytes.substr(std::min(HeadSize + 1, Bytes.size()));
-  Value Root;
-  Value StateRoot;
+  constexpr std::size_t BufferBytes = 32U << 10U;
+  std::array<unsigned char, BufferBytes> Buffer;
+  boost::json::monotonic_resource Memory(Buffer.data(), Buffer.size());
   try {
-    if (!parseArray(Bytes.substr(0, HeadSize), Root) ||
-        (!StateText.empty() && !parseArray(StateText, StateRoot))) {
-      return std::nullopt;
-    }
+    const value Root = parse(Bytes.substr(0, HeadSize), Memory);
     datagram Datagram;
-    Datagram.From = decodeHost(Root[0]);
-    Datagram.FailureDomain = Root[1].asString();
-    Datagram.ToIncarnation = Root[2].asUInt64();
-    Datagram.StateNumber = Root[3].asUInt64();
+    Datagram.From = decodeHost(at(Root, 0));
+    Datagram.FailureDomain = text(at(Root, 1));
+    Datagram.ToIncarnation = wide(at(Root, 2));
+    Datagram.StateNumber = wide(at(Root, 3));
     if (!StateText.empty()) {
-      Datagram.State = decodeState(StateRoot);
+      Datagram.State = decodeState(parse(StateText, Memory));
     }
-    Datagram.HeardState = Root[4].asUInt64();
-    Datagram.AckedUpTo = Root[5].asUInt64();
-    for (const Value &Number : Root[6]) {
-      Datagram.AckedBeyond.push_back(Number.asUInt64());
+    Datagram.HeardState = wide(at(Root, 4));
+    Datagram.AckedUpTo = wide(at(Root, 5));
+    for (const value &Number : at(Root, 6).as_array()) {
+      Datagram.AckedBeyond.push_back(wide(Number));
     }
-    for (const Value &Message : Root[7]) {
+    for (const value &Message : at(Root, 7).as_array()) {
       Datagram.Messages.push_back(
-          {Message[0].asUInt64(), decodeMessage(Message[1])});
+          {wide(at(Message, 0)), decodeMessage(at(Message, 1))});
     }
-    Datagram.Epoch = Root[8].asUInt64();
-    Datagram.AckedEpoch = Root[9].asUInt64();
+    Datagram.Epoch = wide(at(Root, 8));
+    Datagram.AckedEpoch = wide(at(Root, 9));
     return Datagram;
   } catch (const std::exception &) {
     return std::nullopt;
