Decode a target's entry only when it tells something new

Change: an entry that differs from the one before in its count of reports alone isn't decoded again; what is removed is forgotten. Delivering targets and members is one function now.

--- a/src/poolhost/store_follower.cpp
+++ b/src/poolhost/store_follower.cpp
@@ -199,36 +199,68 @@
     }
     return;
   }
-  pool::targets_listed Targets;
-  pool::members_listed Members;
-  Targets.IsWhole = IsWhole;
-  Members.IsWhole = IsWhole;
-  const bool AreTargets = &Followed == &this->Targets;
+  if (&Followed == &Targets) {
+    forgetTargets(Items, IsWhole);
+    deliverEntries<pool::targets_listed>(
+        Followed, Items, IsWhole,
+        [this](const platform::store_item &Item, std::string &Fault) {
+          return readTarget(Item, Fault);
+        });
+    return;
+  }
+  deliverEntries<pool::members_listed>(
+      Followed, Items, IsWhole,
+      [](const platform::store_item &Item, std::string &Fault) {
+        return decodeOr(Fault, [&] { return platform::decodeMember(Item); });
+      });
+}
+
+template <class Listed, class Read>
+void store_follower::deliverEntries(const followed_prefix &Followed,
+                                    const platform::store_items &Items,
+                                    bool IsWhole, Read &&ReadEntry) {
+  Listed Event;
+  Event.IsWhole = IsWhole;
   for (const platform::store_item &Item : Items.Items) {
-    const std::string Name = Item.Key.substr(Followed.Prefix.size());
     if (Item.IsRemoved) {
-      (AreTargets ? Targets.Gone : Members.Gone).push_back(Name);
+      Event.Gone.push_back(Item.Key.substr(Followed.Prefix.size()));
       continue;
     }
     std::string Fault;
-    if (AreTargets) {
-      if (auto Target =
-              decodeOr(Fault, [&] { return platform::decodeTarget(Item); })) {
-        Targets.Present.push_back(std::move(*Target));
-        continue;
-      }
-    } else if (auto Member = decodeOr(
-                   Fault, [&] { return platform::decodeMember(Item); })) {
-      Members.Present.push_back(std::move(*Member));
-      continue;
+    if (auto Record = ReadEntry(Item, Fault)) {
+      Event.Present.push_back(std::move(*Record));
+    } else {
+      OnFault(Item.Key, Fault);
     }
-    OnFault(Item.Key, Fault);
   }
-  if (AreTargets) {
-    OnEvent(std::move(Targets));
-  } else {
-    OnEvent(std::move(Members));
+  OnEvent(std::move(Event));
+}
+
+void store_follower::forgetTargets(const platform::store_items &Items,
+                                   bool IsWhole) {
+  if (IsWhole) {
+    KnownTargets.clear();
+  }
+  for (const platform::store_item &Item : Items.Items) {
+    if (Item.IsRemoved) {
+      KnownTargets.erase(Item.Key);
+    }
+  }
+}
+
+std::optional<pool::target_record>
+store_follower::readTarget(const platform::store_item &Item,
+                           std::string &Fault) {
+  const auto Known = KnownTargets.find(Item.Key);
+  if (Known != KnownTargets.end() &&
+      platform::isSameTarget(Known->second.Entry, Item.Value)) {
+    return Known->second.Record;
+  }
+  auto Target = decodeOr(Fault, [&] { return platform::decodeTarget(Item); });
+  if (Target) {
+    KnownTargets[Item.Key] = {Item.Value, *Target};
   }
+  return Target;
 }
 
 void store_follower::deliverConfiguration(const platform::store_item &Item) {
--- a/src/poolhost/store_follower.h
+++ b/src/poolhost/store_follower.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace tarragonbridge::poolhost {
@@ -57,6 +58,16 @@
   void onFailure(followed_prefix &Followed);
   void deliver(const followed_prefix &Followed,
                const platform::store_items &Items, bool IsWhole);
+  template <class Listed, class Read>
+  void deliverEntries(const followed_prefix &Followed,
+                      const platform::store_items &Items, bool IsWhole,
+                      Read &&ReadEntry);
+  /// Forgets what is removed, and all before a whole reading.
+  void forgetTargets(const platform::store_items &Items, bool IsWhole);
+  /// Decodes an entry unless it tells the same as before: targets report all
+  /// the time.
+  std::optional<pool::target_record>
+  readTarget(const platform::store_item &Item, std::string &Fault);
   void deliverConfiguration(const platform::store_item &Item);
   void rereadConfiguration();
   void renewOrRegister();
@@ -64,6 +75,11 @@
   void write();
   void noteContact(bool IsReachable);
 
+  struct known_target {
+    std::string Entry;
+    pool::target_record Record;
+  };
+
   http_calls &Client;
   store_follower_init Init;
   event_handler OnEvent;
@@ -71,6 +87,7 @@
   followed_prefix Configuration;
   followed_prefix Targets;
   followed_prefix Members;
+  std::map<std::string, known_target> KnownTargets; ///< by key
   boot_time RereadDueAt;
   bool RereadIsUnderway = false;
   boot_time MemberDueAt;
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -230,3 +230,29 @@
   CHECK(Items.Items[0].Value.empty());
   CHECK(Items.Items[1].Value == "{}");
 }
+
+TEST_CASE("entries of a target that differ in their count tell the same",
+          "[pool]") {
+  struct entry_case {
+    std::string Entry;
+    std::string Other;
+    bool IsSame;
+  };
+  const auto Case = GENERATE(values<entry_case>({
+      {R"({"born":1,"sequence":7,"state":"ready"})",
+       R"({"born":1,"sequence":18,"state":"ready"})", true},
+      {R"({"born":1,"sequence":7})", R"({"born":1,"sequence": 8})", true},
+      {R"({"born":1,"sequence":7,"state":"ready"})",
+       R"({"born":1,"sequence":7,"state":"draining"})", false},
+      {R"({"born":1,"sequence":7})", R"({"born":2,"sequence":7})", false},
+      {R"({"born":1,"sequence":7})", R"({"born":1,"sequence":)", false},
+      {R"({"born":1})", R"({"born":1})", true},
+      {R"({"born":1})", R"({"born":1,"sequence":7})", false},
+      {R"({"sequence":7,"sequence":8})", R"({"sequence":7,"sequence":9})",
+       false},
+      {"", "", true},
+  }));
+  CAPTURE(Case.Entry, Case.Other);
+  CHECK(isSameTarget(Case.Entry, Case.Other) == Case.IsSame);
+  CHECK(isSameTarget(Case.Other, Case.Entry) == Case.IsSame);
+}
