Set targets aside that fail the tasks of several jobs in a row

Change: the daemon's part target_health now judges a pool host's targets too: failures of three jobs in a row set a target aside for 2 s, then twice as long each time; it is probed by one task. When most own targets fail, none is set aside: the tasks are to blame. One list, servingTargets, says which targets get work. Event target_set_aside, counter targets_set_aside.

--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -84,7 +84,8 @@
   UnknownStopped,
   DatagramsSent,
   MessagesResent,
-  OrphansDropped, ///< queued tasks whose coordinator is silent
+  OrphansDropped,  ///< queued tasks whose coordinator is silent
+  TargetsSetAside, ///< for failing tasks of several jobs
   Count
 };
 std::string_view nameOf(counter Counter);
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -89,15 +89,49 @@
   return Kind == State.KindSpeeds.end() ? 1 : Kind->second;
 }
 
+health_state healthOf(const pool_state &State, std::string_view Target,
+                      boot_time Now) {
+  const auto Found = State.Targets.find(Target);
+  return Found == State.Targets.end() ? health_state::Well
+                                      : Found->second.Health.state(Now);
+}
+
+/// @returns whether so many targets fail that the tasks are to blame, or where
+/// else they would go
+bool doMostFail(const pool_state &State, boot_time Now) {
+  const auto &Custodies = State.Owner.Custodies;
+  const auto Failing =
+      std::count_if(Custodies.begin(), Custodies.end(), [&](const auto &Entry) {
+        return healthOf(State, Entry.first, Now) != health_state::Well;
+      });
+  return 2 * static_cast<std::size_t>(Failing) > Custodies.size();
+}
+
+/// The targets that get work, with what is known of them.
+std::vector<const custody *> servingTargets(const pool_state &State,
+                                            boot_time Now) {
+  const bool IgnoresHealth = doMostFail(State, Now);
+  std::vector<const custody *> Serving;
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    const health_state Health = healthOf(State, Id, Now);
+    const bool IsWell =
+        IgnoresHealth || Health == health_state::Well ||
+        (Health == health_state::Probing && Custody.attempts().empty());
+    if (Custody.isUsable() && IsWell) {
+      Serving.push_back(&Custody);
+    }
+  }
+  return Serving;
+}
+
 /// @returns the own room, as the only owner in a view
-pool_view ownRoom(const pool_state &State) {
+pool_view ownRoom(const pool_state &State, boot_time Now) {
   pool_view View;
   View.Owners.emplace_back();
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    if (Custody.isUsable()) {
-      View.Rooms.push_back({0, Id, Custody.record().Service, Custody.room(),
-                            speedOf(State, Id)});
-    }
+  for (const custody *Custody : servingTargets(State, Now)) {
+    const target_record &Record = Custody->record();
+    View.Rooms.push_back({0, Record.Id, Record.Service, Custody->room(),
+                          speedOf(State, Record.Id)});
   }
   return View;
 }
@@ -105,12 +139,9 @@
 /// @returns when each attempt's room is expected to be free
 std::vector<busy_target> busyTargets(const pool_state &State, boot_time Now) {
   std::vector<busy_target> Busy;
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    if (!Custody.isUsable()) {
-      continue;
-    }
-    const double Speed = speedOf(State, Id);
-    for (const auto &[Ref, Attempt] : Custody.attempts()) {
+  for (const custody *Custody : servingTargets(State, Now)) {
+    const double Speed = speedOf(State, Custody->record().Id);
+    for (const auto &[Ref, Attempt] : Custody->attempts()) {
       Busy.push_back({remainingTime(Attempt, Speed, Now), Speed});
     }
   }
@@ -145,7 +176,7 @@
     return;
   }
   custody_context Context = Step.custodyContext();
-  pool_view View = ownRoom(Step.State);
+  pool_view View = ownRoom(Step.State, Step.Now);
   std::vector<busy_target> Busy = busyTargets(Step.State, Step.Now);
   sortByHope(Owner.Queue, View, Step.Now);
   std::vector<queued_task> Kept;
@@ -221,10 +252,33 @@
   return counter::EndsNotStarted;
 }
 
+/// Judges a target by what became of a task there.
+void noteHealth(step &Step, const std::string &Target,
+                const ended_attempt &Ended) {
+  const auto Found = Step.State.Targets.find(Target);
+  if (Found == Step.State.Targets.end()) {
+    return;
+  }
+  target_health &Health = Found->second.Health;
+  if (Ended.End == attempt_end::Done) {
+    Health.onDone();
+  } else if (Ended.End == attempt_end::Failed &&
+             Health.onFailed(Ended.Task.Attempt.Job)) {
+    const boot_time Until = Health.setAside(Step.Now);
+    Step.count(counter::TargetsSetAside);
+    Step.log("target_set_aside",
+             {{"target", Target},
+              {"for_ms", std::to_string(until(Until, Step.Now).count())},
+              {"job", Ended.Task.Attempt.Job}});
+  }
+}
+
 void passOnEnd(step &Step, const std::string &Target, ended_attempt &&Ended) {
   pool_state &State = Step.State;
   State.Owner.RoomChanged = true;
   Step.count(counterOf(Ended.End));
+  noteHealth(Step, Target, Ended);
+
   if (Ended.End == attempt_end::Done && Ended.IsTimed) {
     const auto Listed = State.Targets.find(Target);
     if (Listed != State.Targets.end()) {
@@ -264,14 +318,11 @@
   }
 }
 
-std::uint32_t slotsOf(const pool_state &State) {
+std::uint32_t slotsOf(const pool_state &State, boot_time Now) {
   std::int64_t Slots = 0;
   const task_needs &Typical = State.Owner.TypicalNeeds;
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    if (!Custody.isUsable()) {
-      continue;
-    }
-    const task_needs &Capacity = Custody.record().Capacity;
+  for (const custody *Custody : servingTargets(State, Now)) {
+    const task_needs &Capacity = Custody->record().Capacity;
     std::int64_t Fit =
         Typical.CpuMilli > 0 ? Capacity.CpuMilli / Typical.CpuMilli : 1;
     if (Typical.MemoryMb > 0) {
@@ -282,16 +333,13 @@
   return static_cast<std::uint32_t>(Slots);
 }
 
-double meanSpeed(const pool_state &State) {
+double meanSpeed(const pool_state &State, boot_time Now) {
+  const auto Serving = servingTargets(State, Now);
   double Sum = 0;
-  std::size_t Count = 0;
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    if (Custody.isUsable()) {
-      Sum += speedOf(State, Id);
-      ++Count;
-    }
+  for (const custody *Custody : Serving) {
+    Sum += speedOf(State, Custody->record().Id);
   }
-  return Count == 0 ? 1 : Sum / static_cast<double>(Count);
+  return Serving.empty() ? 1 : Sum / static_cast<double>(Serving.size());
 }
 
 /// @returns the predicted wait of a task that joins the queue's end
@@ -314,7 +362,7 @@
   while (FreeIn.size() < Slots) {
     FreeIn.push(milliseconds(0));
   }
-  const double Speed = meanSpeed(State);
+  const double Speed = meanSpeed(State, Now);
   for (const queued_task &Task : State.Owner.Queue) {
     const milliseconds Start = FreeIn.top();
     FreeIn.pop();
@@ -472,17 +520,20 @@
   host_state Described;
   Described.IsLeaving = State.IsLeaving;
   Described.ConfigurationVersion = State.Configuration.Version;
-  Described.Slots = State.IsLeaving ? 0 : slotsOf(State);
+  Described.Slots = State.IsLeaving ? 0 : slotsOf(State, Now);
   Described.Wait = predictWait(State, Described.Slots, Now);
+  const auto Serving = servingTargets(State, Now);
   for (const auto &[Id, Custody] : State.Owner.Custodies) {
     if (Custody.phase() == custody_phase::Lost) {
       continue;
     }
     const auto Listed = State.Targets.find(Id);
+    const bool IsServing =
+        std::find(Serving.begin(), Serving.end(), &Custody) != Serving.end();
     Described.Targets.push_back(
         {Id, Custody.record().Service, Custody.room(), speedOf(State, Id),
          Listed != State.Targets.end() && Listed->second.Speed.isKnown(),
-         Custody.term(), Custody.isUsable() && !State.IsLeaving});
+         Custody.term(), IsServing && !State.IsLeaving});
   }
   return Described;
 }
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -316,7 +316,8 @@
                "unknown_stopped",
                "datagrams_sent",
                "messages_resent",
-               "orphans_dropped"};
+               "orphans_dropped",
+               "targets_set_aside"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -7,6 +7,7 @@
 #include "core/pool/placing_p.h"
 #include "core/pool/speeds_p.h"
 #include "tarragonbridge/pool/pool.h"
+#include "tarragonbridge/target_health.h"
 
 #include <algorithm>
 #include <deque>
@@ -55,7 +56,8 @@
   target_record Record;
   boot_time NotBefore; ///< no take-over before, after another host took it
   std::optional<boot_time> MissingSince; ///< in the platform's list
-  boot_time ClaimedAt; ///< when another host last told that it owns it
+  boot_time ClaimedAt;  ///< when another host last told that it owns it
+  target_health Health; ///< by the ends of the tasks that this host started
   speed_estimate Speed;
   boot_time LearntAt; ///< when the speed was last measured
 };
--- a/tests/unit/pool_world_test.cpp
+++ b/tests/unit/pool_world_test.cpp
@@ -388,3 +388,53 @@
   World.runFor(60ms);
   CHECK(World.isEverythingIdle());
 }
+
+// What fails at once is free at once: it would draw ever more work.
+TEST_CASE("a target that fails everything gets probes only", "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.TargetsPerDomain = 6;
+  Init.Seed = GENERATE(1U, 2U, 3U);
+  pool_world World(Init);
+  World.settle();
+  constexpr std::uint64_t TasksAtOnce = 2;
+  constexpr std::uint64_t FailuresUntilAside = 3;
+  constexpr std::uint64_t ProbesIn4s = 2; // set aside for 2 s, then 4 s
+  World.target(1).setFailing(true);
+  world_job Job;
+  Job.Tasks = 2;
+  submitFor(World, 2, 4s, 50ms, Job, "during");
+  World.target(1).setFailing(false);
+  World.runFor(9s); // its last probe comes after the longest time aside
+  const std::uint64_t Failed = World.counted(counter::EndsFailed);
+  CHECK(Failed > 0);
+  CHECK(Failed <= FailuresUntilAside + TasksAtOnce + ProbesIn4s);
+  const std::uint64_t Before = World.counted(counter::JobsDone);
+  const auto After = submitFor(World, 2, 3s, 50ms, Job, "after");
+  World.runFor(1s);
+  CHECK(World.counted(counter::JobsDone) == Before + After.size());
+  CHECK_THAT(World.broken(), Catch::Equals(""));
+}
+
+TEST_CASE("when most targets fail, none is set aside", "[pool]") {
+  world_init Init;
+  Init.Hosts = 1;
+  Init.TargetsPerDomain = 4;
+  pool_world World(Init);
+  World.settle();
+  for (std::size_t Target = 0; Target < 4; ++Target) {
+    World.target(Target).setFailing(true);
+  }
+  world_job Job;
+  submitFor(World, 1, 2s, 50ms, Job, "during");
+  CHECK(World.count(answer_kind::Overloaded) == 0);
+  for (std::size_t Target = 0; Target < 4; ++Target) {
+    World.target(Target).setFailing(false);
+  }
+  World.runFor(200ms);
+  const auto After = submitFor(World, 1, 1s, 50ms, Job, "after");
+  World.runFor(500ms);
+  for (const request_handle Request : After) {
+    CHECK(World.answerOf(Request) == answer_kind::JobDone);
+  }
+}
