Split the owner: what room its targets have and what their tasks teach, apart

Cause: owner.cpp had 549 lines and three jobs; until() stood three times. Change: owner_room (room, slots, waits, the state that is told), owner_learning (health, speeds, kinds), owner (offers, queue, starts, ends); one until().

--- a/src/core/pool/job_offers.cpp
+++ b/src/core/pool/job_offers.cpp
@@ -6,11 +6,6 @@
 
 namespace tarragonbridge::pool {
 
-milliseconds until(boot_time When, boot_time Now) {
-  return std::max(std::chrono::duration_cast<milliseconds>(When - Now),
-                  milliseconds(0));
-}
-
 pool_view viewPool(const pool_state &State, boot_time Now) {
   pool_view View;
   const auto AddOwner = [&](const std::string &Name, milliseconds Trip,
--- a/src/core/pool/job_offers_p.h
+++ b/src/core/pool/job_offers_p.h
@@ -8,9 +8,6 @@
 /// Offers of one job, by owner.
 using offers = std::map<std::string, task_offer>;
 
-/// @returns the time until a moment, not negative
-milliseconds until(boot_time When, boot_time Now);
-
 /// @returns all owners and their room, this host among them
 pool_view viewPool(const pool_state &State, boot_time Now);
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -1,10 +1,9 @@
-#include "core/pool/state_p.h"
+#include "core/pool/owner_learning_p.h"
+#include "core/pool/owner_room_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
-#include <functional>
-#include <queue>
 
 namespace tarragonbridge::pool {
 
@@ -12,24 +11,11 @@
 /// Queued tasks that are looked at for free room.
 constexpr std::size_t MaxScannedTasks = 64;
 
-milliseconds until(boot_time When, boot_time Now) {
-  return std::chrono::duration_cast<milliseconds>(When - Now);
-}
-
 /// The latest start at speed 1 that ends within the objective.
 boot_time urgencyOf(const queued_task &Task) {
   return Task.EndBy - Task.Expected;
 }
 
-/// @returns when an attempt is expected to end, from now
-milliseconds remainingTime(const owned_attempt &Attempt, double Speed,
-                           boot_time Now) {
-  // An overdue attempt is expected to take this part of its time more.
-  constexpr std::int64_t OverduePart = 4;
-  const milliseconds Run = runTime(Attempt.Task.Expected, Speed);
-  return std::max(until(Attempt.StartedAt, Now) + Run, Run / OverduePart);
-}
-
 void enqueue(owner_state &Owner, queued_task Task) {
   const auto Place =
       std::upper_bound(Owner.Queue.begin(), Owner.Queue.end(), Task,
@@ -76,78 +62,6 @@
   }
 }
 
-/// @returns the speed learnt at a target, or the mean of its kind
-double speedOf(const pool_state &State, std::string_view Target) {
-  const auto Found = State.Targets.find(Target);
-  if (Found == State.Targets.end()) {
-    return 1;
-  }
-  if (Found->second.Speed.isKnown()) {
-    return Found->second.Speed.speed();
-  }
-  const auto Kind = State.KindSpeeds.find(Found->second.Record.Kind);
-  return Kind == State.KindSpeeds.end() ? 1 : Kind->second;
-}
-
-health_state healthOf(const pool_state &State, std::string_view Target,
-                      boot_time Now) {
-  const auto Found = State.Targets.find(Target);
-  return Found == State.Targets.end() ? health_state::Well
-                                      : Found->second.Health.state(Now);
-}
-
-/// @returns whether so many targets fail that the tasks are to blame, or where
-/// else they would go
-bool doMostFail(const pool_state &State, boot_time Now) {
-  const auto &Custodies = State.Owner.Custodies;
-  const auto Failing =
-      std::count_if(Custodies.begin(), Custodies.end(), [&](const auto &Entry) {
-        return healthOf(State, Entry.first, Now) != health_state::Well;
-      });
-  return 2 * static_cast<std::size_t>(Failing) > Custodies.size();
-}
-
-/// The targets that get work, with what is known of them.
-std::vector<const custody *> servingTargets(const pool_state &State,
-                                            boot_time Now) {
-  const bool IgnoresHealth = doMostFail(State, Now);
-  std::vector<const custody *> Serving;
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    const health_state Health = healthOf(State, Id, Now);
-    const bool IsWell =
-        IgnoresHealth || Health == health_state::Well ||
-        (Health == health_state::Probing && Custody.attempts().empty());
-    if (Custody.isUsable() && IsWell) {
-      Serving.push_back(&Custody);
-    }
-  }
-  return Serving;
-}
-
-/// @returns the own room, as the only owner in a view
-pool_view ownRoom(const pool_state &State, boot_time Now) {
-  pool_view View;
-  View.Owners.emplace_back();
-  for (const custody *Custody : servingTargets(State, Now)) {
-    const target_record &Record = Custody->record();
-    View.Rooms.push_back({0, Record.Id, Record.Service, Custody->room(),
-                          speedOf(State, Record.Id)});
-  }
-  return View;
-}
-
-/// @returns when each attempt's room is expected to be free
-std::vector<busy_target> busyTargets(const pool_state &State, boot_time Now) {
-  std::vector<busy_target> Busy;
-  for (const custody *Custody : servingTargets(State, Now)) {
-    const double Speed = speedOf(State, Custody->record().Id);
-    for (const auto &[Ref, Attempt] : Custody->attempts()) {
-      Busy.push_back({remainingTime(Attempt, Speed, Now), Speed});
-    }
-  }
-  return Busy;
-}
-
 /// Puts the tasks that can't be in time any more behind those that can.
 void sortByHope(std::vector<queued_task> &Queue, const pool_view &View,
                 boot_time Now) {
@@ -252,27 +166,6 @@
   return counter::EndsNotStarted;
 }
 
-/// Judges a target by what became of a task there.
-void noteHealth(step &Step, const std::string &Target,
-                const ended_attempt &Ended) {
-  const auto Found = Step.State.Targets.find(Target);
-  if (Found == Step.State.Targets.end()) {
-    return;
-  }
-  target_health &Health = Found->second.Health;
-  if (Ended.End == attempt_end::Done) {
-    Health.onDone();
-  } else if (Ended.End == attempt_end::Failed &&
-             Health.onFailed(Ended.Task.Attempt.Job)) {
-    const boot_time Until = Health.setAside(Step.Now);
-    Step.count(counter::TargetsSetAside);
-    Step.log("target_set_aside",
-             {{"target", Target},
-              {"for_ms", std::to_string(until(Until, Step.Now).count())},
-              {"job", Ended.Task.Attempt.Job}});
-  }
-}
-
 void passOnEnd(step &Step, const std::string &Target, ended_attempt &&Ended) {
   pool_state &State = Step.State;
   State.Owner.RoomChanged = true;
@@ -294,82 +187,6 @@
               task_ended{Ended.Task.Attempt, Ended.End, Target, Ended.Ran});
 }
 
-/// Lowers the speed of targets whose tasks run longer than they should.
-void noteOverdue(step &Step, const std::string &Target,
-                 const custody &Custody) {
-  const auto Listed = Step.State.Targets.find(Target);
-  if (Listed == Step.State.Targets.end()) {
-    return;
-  }
-  speed_estimate &Speed = Listed->second.Speed;
-  for (const auto &[Ref, Attempt] : Custody.attempts()) {
-    const milliseconds Age =
-        std::chrono::duration_cast<milliseconds>(Step.Now - Attempt.StartedAt);
-    const milliseconds Expected = runTime(Attempt.Task.Expected, Speed.speed());
-    if (Attempt.Phase == attempt_phase::Running &&
-        Custody.hasAnsweredSince(Attempt.StartedAt) &&
-        Age > std::chrono::duration_cast<milliseconds>(config::OverdueFactor *
-                                                       Expected)) {
-      Speed.learnOverdue(std::chrono::duration_cast<milliseconds>(
-                             config::OverdueFactor * Attempt.Task.Expected),
-                         Age);
-      Listed->second.LearntAt = Step.Now;
-    }
-  }
-}
-
-std::uint32_t slotsOf(const pool_state &State, boot_time Now) {
-  std::int64_t Slots = 0;
-  const task_needs &Typical = State.Owner.TypicalNeeds;
-  for (const custody *Custody : servingTargets(State, Now)) {
-    const task_needs &Capacity = Custody->record().Capacity;
-    std::int64_t Fit =
-        Typical.CpuMilli > 0 ? Capacity.CpuMilli / Typical.CpuMilli : 1;
-    if (Typical.MemoryMb > 0) {
-      Fit = std::min(Fit, Capacity.MemoryMb / Typical.MemoryMb);
-    }
-    Slots += Fit;
-  }
-  return static_cast<std::uint32_t>(Slots);
-}
-
-double meanSpeed(const pool_state &State, boot_time Now) {
-  const auto Serving = servingTargets(State, Now);
-  double Sum = 0;
-  for (const custody *Custody : Serving) {
-    Sum += speedOf(State, Custody->record().Id);
-  }
-  return Serving.empty() ? 1 : Sum / static_cast<double>(Serving.size());
-}
-
-/// @returns the predicted wait of a task that joins the queue's end
-milliseconds predictWait(const pool_state &State, std::uint32_t Slots,
-                         boot_time Now) {
-  if (Slots == 0) {
-    return milliseconds(0);
-  }
-  std::priority_queue<milliseconds, std::vector<milliseconds>, std::greater<>>
-      FreeIn;
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    const double Speed = speedOf(State, Id);
-    for (const auto &[Ref, Attempt] : Custody.attempts()) {
-      if (FreeIn.size() >= Slots) {
-        break;
-      }
-      FreeIn.push(remainingTime(Attempt, Speed, Now));
-    }
-  }
-  while (FreeIn.size() < Slots) {
-    FreeIn.push(milliseconds(0));
-  }
-  const double Speed = meanSpeed(State, Now);
-  for (const queued_task &Task : State.Owner.Queue) {
-    const milliseconds Start = FreeIn.top();
-    FreeIn.pop();
-    FreeIn.push(Start + runTime(Task.Expected, Speed));
-  }
-  return FreeIn.top();
-}
 } // namespace
 
 void takeOffer(step &Step, const host_ref &From, task_offer &&Offer) {
@@ -457,43 +274,6 @@
   }
 }
 
-void learnKinds(step &Step) {
-  pool_state &State = Step.State;
-  std::map<std::string, std::pair<double, std::size_t>, std::less<>> Sums;
-  const auto Add = [&](std::string_view Target, double Speed) {
-    const auto Listed = State.Targets.find(Target);
-    if (Listed != State.Targets.end()) {
-      auto &[Sum, Count] = Sums[Listed->second.Record.Kind];
-      Sum += Speed;
-      ++Count;
-    }
-  };
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    const auto Listed = State.Targets.find(Id);
-    if (Listed != State.Targets.end() && Listed->second.Speed.isKnown()) {
-      Add(Id, Listed->second.Speed.speed());
-    }
-  }
-  for (const auto &[Name, Peer] : State.Peers) {
-    for (const target_room &Room : Peer.State.Targets) {
-      if (Room.IsSpeedKnown) {
-        Add(Room.Target, Room.Speed);
-      }
-    }
-  }
-  for (const auto &[Kind, Sum] : Sums) {
-    State.KindSpeeds[Kind] = Sum.first / static_cast<double>(Sum.second);
-  }
-  // What was slow and is avoided would otherwise stay slow for ever.
-  for (auto &[Id, Listed] : State.Targets) {
-    const auto Kind = State.KindSpeeds.find(Listed.Record.Kind);
-    if (Kind != State.KindSpeeds.end() &&
-        Listed.LearntAt + config::SpeedTrustedFor < Step.Now) {
-      Listed.Speed.drawTo(Kind->second);
-    }
-  }
-}
-
 void stopOrphans(step &Step) {
   pool_state &State = Step.State;
   const std::size_t Dropped =
@@ -516,28 +296,6 @@
   }
 }
 
-host_state describeRoom(const pool_state &State, boot_time Now) {
-  host_state Described;
-  Described.IsLeaving = State.IsLeaving;
-  Described.ConfigurationVersion = State.Configuration.Version;
-  Described.Slots = State.IsLeaving ? 0 : slotsOf(State, Now);
-  Described.Wait = predictWait(State, Described.Slots, Now);
-  const auto Serving = servingTargets(State, Now);
-  for (const auto &[Id, Custody] : State.Owner.Custodies) {
-    if (Custody.phase() == custody_phase::Lost) {
-      continue;
-    }
-    const auto Listed = State.Targets.find(Id);
-    const bool IsServing =
-        std::find(Serving.begin(), Serving.end(), &Custody) != Serving.end();
-    Described.Targets.push_back(
-        {Id, Custody.record().Service, Custody.room(), speedOf(State, Id),
-         Listed != State.Targets.end() && Listed->second.Speed.isKnown(),
-         Custody.term(), IsServing && !State.IsLeaving});
-  }
-  return Described;
-}
-
 boot_time nextTargetTimer(const pool_state &State, boot_time Now) {
   boot_time Due = boot_time::max();
   for (const auto &[Id, Custody] : State.Owner.Custodies) {
--- /dev/null
+++ b/src/core/pool/owner_room.cpp
@@ -0,0 +1,166 @@
+#include "core/pool/owner_room_p.h"
+
+#include "tarragonbridge/pool/config.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+
+namespace tarragonbridge::pool {
+
+double speedOf(const pool_state &State, std::string_view Target) {
+  const auto Found = State.Targets.find(Target);
+  if (Found == State.Targets.end()) {
+    return 1;
+  }
+  if (Found->second.Speed.isKnown()) {
+    return Found->second.Speed.speed();
+  }
+  const auto Kind = State.KindSpeeds.find(Found->second.Record.Kind);
+  return Kind == State.KindSpeeds.end() ? 1 : Kind->second;
+}
+
+namespace {
+health_state healthOf(const pool_state &State, std::string_view Target,
+                      boot_time Now) {
+  const auto Found = State.Targets.find(Target);
+  return Found == State.Targets.end() ? health_state::Well
+                                      : Found->second.Health.state(Now);
+}
+
+/// @returns whether so many targets fail that the tasks are to blame, or where
+/// else they would go
+bool doMostFail(const pool_state &State, boot_time Now) {
+  const auto &Custodies = State.Owner.Custodies;
+  const auto Failing =
+      std::count_if(Custodies.begin(), Custodies.end(), [&](const auto &Entry) {
+        return healthOf(State, Entry.first, Now) != health_state::Well;
+      });
+  return 2 * static_cast<std::size_t>(Failing) > Custodies.size();
+}
+
+/// The targets that get work, with what is known of them.
+std::vector<const custody *> servingTargets(const pool_state &State,
+                                            boot_time Now) {
+  const bool IgnoresHealth = doMostFail(State, Now);
+  std::vector<const custody *> Serving;
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    const health_state Health = healthOf(State, Id, Now);
+    const bool IsWell =
+        IgnoresHealth || Health == health_state::Well ||
+        (Health == health_state::Probing && Custody.attempts().empty());
+    if (Custody.isUsable() && IsWell) {
+      Serving.push_back(&Custody);
+    }
+  }
+  return Serving;
+}
+
+/// @returns when an attempt is expected to end, from now
+milliseconds remainingTime(const owned_attempt &Attempt, double Speed,
+                           boot_time Now) {
+  // An overdue attempt is expected to take this part of its time more.
+  constexpr std::int64_t OverduePart = 4;
+  const milliseconds Run = runTime(Attempt.Task.Expected, Speed);
+  return std::max(until(Attempt.StartedAt, Now) + Run, Run / OverduePart);
+}
+
+std::uint32_t slotsOf(const pool_state &State, boot_time Now) {
+  std::int64_t Slots = 0;
+  const task_needs &Typical = State.Owner.TypicalNeeds;
+  for (const custody *Custody : servingTargets(State, Now)) {
+    const task_needs &Capacity = Custody->record().Capacity;
+    std::int64_t Fit =
+        Typical.CpuMilli > 0 ? Capacity.CpuMilli / Typical.CpuMilli : 1;
+    if (Typical.MemoryMb > 0) {
+      Fit = std::min(Fit, Capacity.MemoryMb / Typical.MemoryMb);
+    }
+    Slots += Fit;
+  }
+  return static_cast<std::uint32_t>(Slots);
+}
+
+double meanSpeed(const pool_state &State, boot_time Now) {
+  const auto Serving = servingTargets(State, Now);
+  double Sum = 0;
+  for (const custody *Custody : Serving) {
+    Sum += speedOf(State, Custody->record().Id);
+  }
+  return Serving.empty() ? 1 : Sum / static_cast<double>(Serving.size());
+}
+
+/// @returns the predicted wait of a task that joins the queue's end
+milliseconds predictWait(const pool_state &State, std::uint32_t Slots,
+                         boot_time Now) {
+  if (Slots == 0) {
+    return milliseconds(0);
+  }
+  std::priority_queue<milliseconds, std::vector<milliseconds>, std::greater<>>
+      FreeIn;
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    const double Speed = speedOf(State, Id);
+    for (const auto &[Ref, Attempt] : Custody.attempts()) {
+      if (FreeIn.size() >= Slots) {
+        break;
+      }
+      FreeIn.push(remainingTime(Attempt, Speed, Now));
+    }
+  }
+  while (FreeIn.size() < Slots) {
+    FreeIn.push(milliseconds(0));
+  }
+  const double Speed = meanSpeed(State, Now);
+  for (const queued_task &Task : State.Owner.Queue) {
+    const milliseconds Start = FreeIn.top();
+    FreeIn.pop();
+    FreeIn.push(Start + runTime(Task.Expected, Speed));
+  }
+  return FreeIn.top();
+}
+} // namespace
+
+pool_view ownRoom(const pool_state &State, boot_time Now) {
+  pool_view View;
+  View.Owners.emplace_back();
+  for (const custody *Custody : servingTargets(State, Now)) {
+    const target_record &Record = Custody->record();
+    View.Rooms.push_back({0, Record.Id, Record.Service, Custody->room(),
+                          speedOf(State, Record.Id)});
+  }
+  return View;
+}
+
+std::vector<busy_target> busyTargets(const pool_state &State, boot_time Now) {
+  std::vector<busy_target> Busy;
+  for (const custody *Custody : servingTargets(State, Now)) {
+    const double Speed = speedOf(State, Custody->record().Id);
+    for (const auto &[Ref, Attempt] : Custody->attempts()) {
+      Busy.push_back({remainingTime(Attempt, Speed, Now), Speed});
+    }
+  }
+  return Busy;
+}
+
+host_state describeRoom(const pool_state &State, boot_time Now) {
+  host_state Described;
+  Described.IsLeaving = State.IsLeaving;
+  Described.ConfigurationVersion = State.Configuration.Version;
+  Described.Slots = State.IsLeaving ? 0 : slotsOf(State, Now);
+  Described.Wait = predictWait(State, Described.Slots, Now);
+  const auto Serving = servingTargets(State, Now);
+  for (const auto &[Id, Custody] : State.Owner.Custodies) {
+    if (Custody.phase() == custody_phase::Lost) {
+      continue;
+    }
+    const auto Listed = State.Targets.find(Id);
+    const bool IsServing =
+        std::find(Serving.begin(), Serving.end(), &Custody) != Serving.end();
+    Described.Targets.push_back(
+        {Id, Custody.record().Service, Custody.room(), speedOf(State, Id),
+         Listed != State.Targets.end() && Listed->second.Speed.isKnown(),
+         Custody.term(), IsServing && !State.IsLeaving});
+  }
+  return Described;
+}
+
+} // namespace tarragonbridge::pool
