--- a/include/tarragonbridge/pool/types.h
+++ b/include/tarragonbridge/pool/types.h
@@ -111,7 +111,11 @@
   std::string Name;
   std::uint64_t Incarnation = 0;
 
-  auto operator<=>(const host_ref &) const = default;
+  bool operator==(const host_ref &) const = default;
+  bool operator<(const host_ref &Other) const {
+    return std::tie(Name, Incarnation) <
+           std::tie(Other.Name, Other.Incarnation);
+  }
 };
 
 /// An entry host as registered in the platform's store.
--- a/src/core/pool/dealing.cpp
+++ b/src/core/pool/dealing.cpp
@@ -21,6 +21,7 @@
   };
   const std::size_t Most = (Targets.size() + Hosts.size() - 1) / Hosts.size();
   std::vector<candidate> Candidates;
+  Candidates.reserve(Hosts.size());
   for (const std::string &Host : Hosts) {
     Candidates.push_back({&Host, hashOf(Host, 0), Most});
   }
--- a/src/core/pool/owner_learning.cpp
+++ b/src/core/pool/owner_learning.cpp
@@ -6,15 +6,16 @@
 
 void noteHealth(step &Step, const std::string &Target,
                 const ended_attempt &Ended) {
-  const auto Found = Step.State.Targets.find(Target);
-  if (Found == Step.State.Targets.end()) {
+  owner_state &Owner = Step.State.Owner;
+  if (Ended.End == attempt_end::Done) {
+    Owner.Health.erase(Target);
     return;
   }
-  target_health &Health = Found->second.Health;
-  if (Ended.End == attempt_end::Done) {
-    Health.onDone();
-  } else if (Ended.End == attempt_end::Failed &&
-             Health.onFailed(Ended.Task.Attempt.Job)) {
+  if (Ended.End != attempt_end::Failed) {
+    return;
+  }
+  target_health &Health = Owner.Health[Target];
+  if (Health.onFailed(Ended.Task.Attempt.Job)) {
     const boot_time Until = Health.setAside(Step.Now);
     Step.count(counter::TargetsSetAside);
     Step.log("target_set_aside",
--- a/src/core/pool/owner_room.cpp
+++ b/src/core/pool/owner_room.cpp
@@ -23,18 +23,20 @@
 namespace {
 health_state healthOf(const pool_state &State, std::string_view Target,
                       boot_time Now) {
-  const auto Found = State.Targets.find(Target);
-  return Found == State.Targets.end() ? health_state::Well
-                                      : Found->second.Health.state(Now);
+  const auto &Health = State.Owner.Health;
+  const auto Found = Health.find(Target);
+  return Found == Health.end() ? health_state::Well : Found->second.state(Now);
 }
 
 /// @returns whether so many targets fail that the tasks are to blame, or where
 /// else they would go
 bool doMostFail(const pool_state &State, boot_time Now) {
   const auto &Custodies = State.Owner.Custodies;
+  const auto &Health = State.Owner.Health;
   const auto Failing =
-      std::count_if(Custodies.begin(), Custodies.end(), [&](const auto &Entry) {
-        return healthOf(State, Entry.first, Now) != health_state::Well;
+      std::count_if(Health.begin(), Health.end(), [&](const auto &Entry) {
+        return Custodies.contains(Entry.first) &&
+               Entry.second.state(Now) != health_state::Well;
       });
   return 2 * static_cast<std::size_t>(Failing) > Custodies.size();
 }
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -120,6 +120,7 @@
 
 void forgetTarget(step &Step, const std::string &Id) {
   Step.State.Targets.erase(Id);
+  Step.State.Owner.Health.erase(Id);
   const auto Owned = Step.State.Owner.Custodies.find(Id);
   if (Owned != Step.State.Owner.Custodies.end()) {
     Owned->second.setGone();
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -61,8 +61,8 @@
   target_record Record;
   boot_time NotBefore; ///< no take-over before, after another host took it
   std::optional<boot_time> MissingSince; ///< in the platform's list
-  boot_time ClaimedAt;  ///< when another host last told that it owns it
-  target_health Health; ///< by the ends of the tasks that this host started
+  boot_time ClaimedAt; ///< when another host last told that it owns it
+
   speed_estimate Speed;
   boot_time LearntAt; ///< when the speed was last measured
 };
@@ -73,6 +73,8 @@
   std::vector<queued_task> Queue;                        ///< sorted by urgency
   /// Lately, so that an offer that they overtook is not taken.
   std::map<std::pair<host_ref, attempt_ref>, boot_time> Cancelled;
+  /// Of targets where a task failed and none was done since.
+  std::map<std::string, target_health, std::less<>> Health;
   task_needs TypicalNeeds; ///< of the task offered last
   bool RoomChanged = true; ///< since the latest state was sent
 };
--- a/tests/unit/pool_world_test.cpp
+++ b/tests/unit/pool_world_test.cpp
@@ -22,6 +22,13 @@
   }
   return Requests;
 }
+
+void checkDone(const pool_world &World,
+               const std::vector<request_handle> &Requests) {
+  for (const request_handle Request : Requests) {
+    CHECK(World.answerOf(Request) == answer_kind::JobDone);
+  }
+}
 } // namespace
 
 TEST_CASE("a calm pool answers every job whole", "[pool]") {
@@ -157,9 +164,7 @@
   const auto After = submitFor(World, 4, 1s, 70ms, Job, "after");
   World.runFor(6s);
   CHECK_THAT(World.broken(), Catch::Equals(""));
-  for (const request_handle Request : After) {
-    CHECK(World.answerOf(Request) == answer_kind::JobDone);
-  }
+  checkDone(World, After);
   CHECK(World.isEverythingIdle());
 }
 
@@ -181,9 +186,7 @@
   World.runFor(3s);
   const auto After = submitFor(World, 2, 1s, 100ms, Job, "after");
   World.runFor(2s);
-  for (const request_handle Request : After) {
-    CHECK(World.answerOf(Request) == answer_kind::JobDone);
-  }
+  checkDone(World, After);
   CHECK_THAT(World.broken(), Catch::Equals(""));
 }
 
@@ -434,7 +437,5 @@
   World.runFor(200ms);
   const auto After = submitFor(World, 1, 1s, 50ms, Job, "after");
   World.runFor(500ms);
-  for (const request_handle Request : After) {
-    CHECK(World.answerOf(Request) == answer_kind::JobDone);
-  }
+  checkDone(World, After);
 }
