--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -28,7 +28,6 @@
   /// Fills a datagram with what is due: new messages, those to resend,
   /// acknowledgements.
   ///
-  /// @param[in] SizeOf bytes that a message takes, about
   /// @returns messages that are sent again
   std::size_t fill(datagram &Datagram, boot_time Now);
 
--- a/src/poolhost/http_calls.cpp
+++ b/src/poolhost/http_calls.cpp
@@ -24,7 +24,7 @@
   std::string RequestBody;
   std::string AnswerBody;
   http_calls::completion Done;
-  boot_time SendBefore; ///< later it would come as a surprise
+  boot_time SendBefore; ///< not sent from then on
 };
 
 std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
