--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -124,7 +124,14 @@
 }
 
 /// Places one task of a job anew.
-void placeAgain(step &Step, open_job &Job, job_task &Task) {
+void placeAgain(step &Step, open_job &Job, job_task &Task,
+                std::string_view Reason) {
+  Step.log("task_placed_again", {{"job", Job.Id},
+                                 {"step", std::to_string(Task.Step)},
+                                 {"task", std::to_string(Task.Index)},
+                                 {"run", std::to_string(Task.Run)},
+                                 {"owner", Task.Owner.Name},
+                                 {"reason", std::string(Reason)}});
   Task.Phase = task_phase::Unplaced;
   pool_view View = viewPool(Step.State, Step.Now);
   const auto Placing = placeTask(
@@ -383,7 +390,7 @@
     }
     if (job_task *Task = findTask(Found->second, Attempt)) {
       ++Task->Rounds;
-      placeAgain(Step, Found->second, *Task);
+      placeAgain(Step, Found->second, *Task, "refused");
     }
   }
 }
@@ -424,7 +431,7 @@
     return;
   }
   Task->Rounds = 0;
-  placeAgain(Step, Job, *Task);
+  placeAgain(Step, Job, *Task, nameOf(Ended.End));
 }
 
 void takeMove(step &Step, const host_ref &From, const tasks_moved &Moved) {
--- a/src/core/pool/custody.cpp
+++ b/src/core/pool/custody.cpp
@@ -107,6 +107,7 @@
   }
   Found->second.IsStopWanted = true;
   Found->second.StopReason = Reason;
+  logAttempt("attempt_stopped", Ref, Reason, Context);
   if (Phase != custody_phase::Lost) {
     sendStop(Found->second, Context);
   }
@@ -118,6 +119,20 @@
       stop_attempt{Record.Id, Record.Address, Attempt.Task.Attempt, Token});
 }
 
+void custody::logAttempt(std::string Event, const attempt_ref &Attempt,
+                         std::string_view Reason,
+                         custody_context &Context) const {
+  Context.Effects.emplace_back(
+      log_line{std::move(Event),
+               {{"job", Attempt.Job},
+                {"step", std::to_string(Attempt.Step)},
+                {"task", std::to_string(Attempt.Task)},
+                {"run", std::to_string(Attempt.Run)},
+                {"target", Record.Id},
+                {"reason", std::string(Reason)},
+                {"term", std::to_string(termOf(Token))}}});
+}
+
 void custody::onStart(const start_answered &Answer, custody_context &Context) {
   noteClock(Answer.TargetClock, Context.Now);
   const auto Found = Attempts.find(Answer.Attempt);
@@ -162,6 +177,8 @@
   case order_outcome::TooLate:
   case order_outcome::NoRoom:
     Context.Counters.add(counter::StartsRefused);
+    logAttempt("attempt_not_started", Answer.Attempt, nameOf(Answer.Outcome),
+               Context);
     end(Answer.Attempt, attempt_end::NotStarted, true, Context);
     return;
   case order_outcome::Rejected:
@@ -266,6 +283,9 @@
     if (AllEndsListed) {
       const owned_attempt &Attempt = Attempts.at(Ref);
       const bool NeverRan = Attempt.Phase == attempt_phase::Doubted;
+      logAttempt(NeverRan ? "attempt_not_started" : "attempt_lost", Ref,
+                 "not_in_list", Context);
+
       end(Ref, NeverRan ? attempt_end::NotStarted : attempt_end::Lost,
           NeverRan && !Attempt.NeedsHigherRun, Context);
     }
@@ -281,6 +301,7 @@
     }
     HasUnknown = true;
     Context.Counters.add(counter::UnknownStopped);
+    logAttempt("attempt_unknown", Ref, "in_list", Context);
     Context.Effects.emplace_back(
         stop_attempt{Record.Id, Record.Address, Ref, Token});
   }
@@ -455,6 +476,7 @@
 void custody::doubt(owned_attempt &Attempt, custody_context &Context) {
   Attempt.Phase = attempt_phase::Doubted;
   Attempt.DoubtedAt = Context.Now;
+  logAttempt("attempt_doubted", Attempt.Task.Attempt, "no_answer", Context);
   if (Attempt.Token == Token && Context.Rules.RaiseTokenInDoubt) {
     // A list under the same token could be overtaken by the start.
     raiseToken(Context);
@@ -532,6 +554,7 @@
 
 void custody::endAll(attempt_end End, custody_context &Context) {
   while (!Attempts.empty()) {
+    logAttempt("attempt_lost", Attempts.begin()->first, "lease_over", Context);
     end(attempt_ref(Attempts.begin()->first), End, false, Context);
   }
 }
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -143,6 +143,8 @@
   void sendStop(owned_attempt &Attempt, custody_context &Context);
   void sendHold(milliseconds Wait, custody_context &Context);
   void forgetOldEnds(boot_time Now);
+  void logAttempt(std::string Event, const attempt_ref &Attempt,
+                  std::string_view Reason, custody_context &Context) const;
   bool needsList() const;
   bool wantsList() const;
   boot_time listDueAt() const;
