--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -51,11 +51,6 @@
   return Peer.HeardAt != boot_time{} && Peer.HeardAt + Within >= Now;
 }
 
-/// @returns the time from now until then, negative when it has passed
-inline milliseconds until(boot_time When, boot_time Now) {
-  return std::chrono::duration_cast<milliseconds>(When - Now);
-}
-
 /// What is known of a listed target beside its record. Module ownership.
 struct listed_target {
   target_record Record;
--- a/src/core/pool/work_p.h
+++ b/src/core/pool/work_p.h
@@ -7,6 +7,11 @@
 
 namespace tarragonbridge::pool {
 
+/// @returns the time between, negative when the first comes before the second
+inline milliseconds until(boot_time Then, boot_time From) {
+  return std::chrono::duration_cast<milliseconds>(Then - From);
+}
+
 /// A task that was accepted from its coordinator.
 struct queued_task {
   attempt_ref Attempt;
