Split the coordinator: admission, ends, and what happens in between

Only completeJob is new: the log line, the counter and the answer of a whole job, which stood apart.

--- /dev/null
+++ b/src/core/pool/job_ends.cpp
@@ -0,0 +1,125 @@
+#include "core/pool/job_ends_p.h"
+
+#include "core/pool/job_offers_p.h"
+#include "tarragonbridge/pool/config.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace tarragonbridge::pool {
+
+namespace {
+/// How long ended jobs are remembered for resubmissions.
+constexpr milliseconds EndedRetention{15'000};
+
+void rememberEnded(step &Step, const open_job &Job, bool IsDone) {
+  coordinator_state &Coordinator = Step.State.Coordinator;
+  std::uint32_t LastRun = 0;
+  for (const job_task &Task : Job.Tasks) {
+    LastRun = std::max(LastRun, Task.Run);
+  }
+  Coordinator.Ended[Job.Id] = {IsDone, LastRun};
+  Coordinator.EndedOrder.emplace_back(Step.Now, Job.Id);
+  while (Coordinator.EndedOrder.front().first + EndedRetention < Step.Now) {
+    Coordinator.Ended.erase(Coordinator.EndedOrder.front().second);
+    Coordinator.EndedOrder.pop_front();
+  }
+}
+
+bool mayHaveRun(const open_job &Job) {
+  return Job.MayHaveRun ||
+         std::any_of(Job.Tasks.begin(), Job.Tasks.end(),
+                     [](const job_task &Task) {
+                       return Task.Phase == task_phase::Offered;
+                     });
+}
+} // namespace
+
+std::string describe(milliseconds Time) { return std::to_string(Time.count()); }
+
+void finishJob(step &Step, const std::string &Id, answer_kind Kind,
+               milliseconds RetryAfter) {
+  coordinator_state &Coordinator = Step.State.Coordinator;
+  const auto Found = Coordinator.Jobs.find(Id);
+  open_job &Job = Found->second;
+  std::map<std::string, tasks_cancelled> Cancelled;
+  for (const job_task &Task : Job.Tasks) {
+    if (Task.Phase == task_phase::Offered) {
+      Cancelled[Task.Owner.Name].Tasks.push_back(refOf(Job, Task));
+    }
+  }
+  for (auto &[Host, Message] : Cancelled) {
+    sendMessage(Step, hostRef(Step.State, Host), std::move(Message));
+  }
+  for (const request_handle Request : Job.Requests) {
+    Coordinator.JobOf.erase(static_cast<std::uint64_t>(Request));
+    Step.Effects.emplace_back(
+        answer_caller{Request, Kind, RetryAfter, 0, Step.State.IsLeaving});
+  }
+  rememberEnded(Step, Job, Kind == answer_kind::JobDone);
+  Coordinator.Jobs.erase(Found);
+}
+
+void completeJob(step &Step, const open_job &Job) {
+  const auto Age =
+      std::chrono::duration_cast<milliseconds>(Step.Now - Job.PostedAt);
+  Step.log("job_done",
+           {{"job", Job.Id},
+            {"route", Job.Route.Name},
+            {"tasks", std::to_string(Job.Tasks.size())},
+            {"age_ms", describe(Age)},
+            {"predicted_ms", describe(Job.PredictedEnd)},
+            {"objective_ms", describe(until(Job.EndBy, Job.PostedAt))}});
+  Step.count(counter::JobsDone);
+  finishJob(Step, std::string(Job.Id), answer_kind::JobDone);
+}
+
+std::string describeOwners(const open_job &Job) {
+  std::map<std::string, std::size_t> Counts;
+  for (const job_task &Task : Job.Tasks) {
+    if (Task.Phase == task_phase::Offered) {
+      ++Counts[Task.Owner.Name];
+    }
+  }
+  std::string Text;
+  for (const auto &[Host, Count] : Counts) {
+    Text += (Text.empty() ? "" : ",") + Host + ":" + std::to_string(Count);
+  }
+  return Text;
+}
+
+void failJob(step &Step, const std::string &Id, answer_kind Kind,
+             std::string_view Reason, const std::string &Detail) {
+  const open_job &Job = Step.State.Coordinator.Jobs.find(Id)->second;
+  const auto Age =
+      std::chrono::duration_cast<milliseconds>(Step.Now - Job.PostedAt);
+  Step.count(counter::JobsFailed);
+  Step.log("job_failed",
+           {{"job", Id},
+            {"reason", std::string(Reason)},
+            {"detail", Detail},
+            {"age_ms", describe(Age)},
+            {"objective_ms", describe(until(Job.EndBy, Job.PostedAt))},
+            {"version", std::to_string(Step.State.Configuration.Version)}});
+  finishJob(Step, Id, Kind);
+}
+
+milliseconds retryAfter(const std::string &Id, milliseconds Wait) {
+  const milliseconds Spread(
+      XXH3_64bits(Id.data(), Id.size()) %
+      static_cast<std::uint64_t>(
+          (config::MaxRetryAfter - config::MinRetryAfter).count()));
+  return std::min(config::MinRetryAfter + Wait + Spread, config::MaxRetryAfter);
+}
+
+void giveUp(step &Step, const std::string &Id, std::string_view Reason) {
+  const open_job &Job = Step.State.Coordinator.Jobs.find(Id)->second;
+  if (mayHaveRun(Job)) {
+    failJob(Step, Id, answer_kind::JobAbandoned, Reason);
+    return;
+  }
+  Step.count(counter::RefusedOverloaded);
+  finishJob(Step, Id, answer_kind::Overloaded, retryAfter(Id, milliseconds(0)));
+}
+
+} // namespace tarragonbridge::pool
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -221,6 +221,8 @@
 // Module coordinator: jobs that this host answers for.
 
 void postJob(step &Step, job_posted &&Posted);
+/// Places all tasks of a job that hasn't begun, or refuses it whole.
+void placeJob(step &Step, open_job &Job);
 void askJob(step &Step, const job_asked &Asked);
 void leaveJob(step &Step, const caller_left &Left);
 void takeRefusal(step &Step, const offer_refused &Refused);
