--- /dev/null
+++ b/tests/unit/pool_doubt_test.cpp
@@ -0,0 +1,149 @@
+/// Pool hosts that stand still, lose targets or meet failing ones: tests of
+/// what must not happen then.
+#include "pool_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::pool;
+using namespace std::chrono_literals;
+
+// Tokens of one process rise, also when it gives a target up and takes it anew:
+// an order from before would else be carried out beside the new ones.
+TEST_CASE("a target that is taken anew gets a higher token", "[pool]") {
+  world_init Init;
+  Init.Hosts = 1;
+  Init.TargetsPerDomain = 1;
+  pool_world World(Init);
+  World.settle();
+  const std::uint64_t Before = World.target(0).highestToken();
+  World.post(0, targets_listed{true, {}, {}});
+  World.runFor(500ms);
+  REQUIRE(World.figuresOf(0).TargetsOwned == 0);
+  World.listAll();
+  World.runFor(4s);
+  REQUIRE(World.figuresOf(0).TargetsOwned == 1);
+  CHECK(World.target(0).highestToken() > Before);
+}
+
+// A start that came back refused after a standstill: its coordinator has given
+// the task up meanwhile, and its caller may have sent the job elsewhere.
+TEST_CASE("a host that wakes begins nothing for a silent coordinator",
+          "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"long", 6};
+  Job.Work = 2s;
+  World.cutFromTargets(0);
+  World.submit(1, Job);
+  for (int Step = 0; Step < 20 && World.figuresOf(0).AttemptsRunning == 0;
+       ++Step) {
+    World.runFor(1ms);
+  }
+  REQUIRE(World.figuresOf(0).AttemptsRunning > 0);
+  World.freeze(0);
+  const order_outcome Outcome =
+      GENERATE(order_outcome::NotSent, order_outcome::NoRoom);
+  INFO(nameOf(Outcome));
+  // What it finds first when it wakes: the answer to the last task's start.
+  World.post(0, start_answered{"t0-2",
+                               {Job.Id, 0, Job.Tasks - 1, 1},
+                               World.target(2).highestToken(),
+                               Outcome,
+                               std::nullopt});
+  World.runFor(1'300ms);
+  const std::uint64_t Before = World.counted(counter::AttemptsStarted);
+  World.heal();
+  World.wake(0);
+  World.runFor(5ms);
+  CHECK(World.counted(counter::StartsRefused) > 0);
+  CHECK(World.counted(counter::AttemptsStarted) == Before);
+}
+
+// An offer that wasn't acknowledged is sent again and again: once its job is
+// given up, it must not arrive before the word that it is.
+TEST_CASE("a host that wakes takes no offer of a job given up meanwhile",
+          "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.Seed = GENERATE(1U, 2U, 3U);
+  const milliseconds Standstill =
+      GENERATE(1'000ms, 1'100ms, 1'200ms, 1'300ms, 1'400ms, 1'500ms, 2'200ms);
+  CAPTURE(Init.Seed, Standstill.count());
+  pool_world World(Init);
+  World.settle();
+  World.freeze(0);
+  world_job Job{"wide", 8};
+  const request_handle Request = World.submit(1, Job);
+  World.runFor(Standstill);
+  REQUIRE(World.answerOf(Request) == answer_kind::JobAbandoned);
+  const std::uint64_t Before = World.startsSeen();
+  World.wake(0);
+  World.runFor(2s);
+  CHECK(World.startsSeen() == Before);
+}
+
+TEST_CASE("a cancel that overtakes its offer holds", "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.Seed = GENERATE(range(1U, 12U));
+  CAPTURE(Init.Seed);
+  pool_world World(Init);
+  World.settle();
+  world_job Job{"wide", 8};
+  Job.Work = 2s;
+  const request_handle Request = World.submit(1, Job);
+  World.leave(1, Request);
+  World.runFor(60ms);
+  CHECK(World.isEverythingIdle());
+}
+
+// What fails at once is free at once: it would draw ever more work.
+TEST_CASE("a target that fails everything gets probes only", "[pool]") {
+  world_init Init;
+  Init.Hosts = 2;
+  Init.TargetsPerDomain = 6;
+  Init.Seed = GENERATE(1U, 2U, 3U);
+  pool_world World(Init);
+  World.settle();
+  constexpr std::uint64_t TasksAtOnce = 2;
+  constexpr std::uint64_t FailuresUntilAside = 3;
+  constexpr std::uint64_t ProbesIn4s = 2; // set aside for 2 s, then 4 s
+  World.target(1).setFailing(true);
+  world_job Job;
+  Job.Tasks = 2;
+  submitFor(World, 2, 4s, 50ms, Job, "during");
+  World.target(1).setFailing(false);
+  World.runFor(9s); // its last probe comes after the longest time aside
+  const std::uint64_t Failed = World.counted(counter::EndsFailed);
+  CHECK(Failed > 0);
+  CHECK(Failed <= FailuresUntilAside + TasksAtOnce + ProbesIn4s);
+  const std::uint64_t Before = World.counted(counter::JobsDone);
+  const auto After = submitFor(World, 2, 3s, 50ms, Job, "after");
+  World.runFor(1s);
+  CHECK(World.counted(counter::JobsDone) == Before + After.size());
+  CHECK_THAT(World.broken(), Catch::Equals(""));
+}
+
+TEST_CASE("when most targets fail, none is set aside", "[pool]") {
+  world_init Init;
+  Init.Hosts = 1;
+  Init.TargetsPerDomain = 4;
+  pool_world World(Init);
+  World.settle();
+  for (std::size_t Target = 0; Target < 4; ++Target) {
+    World.target(Target).setFailing(true);
+  }
+  world_job Job;
+  submitFor(World, 1, 2s, 50ms, Job, "during");
+  CHECK(World.count(answer_kind::Overloaded) == 0);
+  for (std::size_t Target = 0; Target < 4; ++Target) {
+    World.target(Target).setFailing(false);
+  }
+  World.runFor(200ms);
+  const auto After = submitFor(World, 1, 1s, 50ms, Job, "after");
+  World.runFor(500ms);
+  checkDone(World, After);
+}
--- a/tests/unit/pool_world.cpp
+++ b/tests/unit/pool_world.cpp
@@ -1,8 +1,9 @@
-#include "pool_world.h"
+#include "pool_world_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
+#include <catch2/catch.hpp>
 
 namespace tarragonbridge::pool {
 
@@ -11,24 +12,11 @@
 constexpr milliseconds DrainBound{2'000};
 constexpr milliseconds SettleFor{1'500};
 
-std::string hostName(std::size_t Host) {
-  return "host-" + std::to_string(Host);
-}
 std::string domainName(std::size_t Domain) {
   return "domain-" + std::to_string(Domain);
 }
 } // namespace
 
-struct pool_world::simulated_host {
-  pool_init Init;
-  pool_host Host; ///< null: dead
-  std::uint64_t Life = 0;
-  boot_time TimerAt = boot_time::max();
-  bool IsFrozen = false;
-  bool HasEnded = false;
-  std::vector<event> Held; ///< events while it is frozen
-};
-
 pool_world::pool_world(const world_init &Given)
     : Init(Given), Random(Given.Seed), Now(std::chrono::seconds(100)),
       Checker(CancelBound, DrainBound) {
@@ -191,152 +179,11 @@
   });
 }
 
-void pool_world::carryOut(std::size_t Host, effect &&Effect) {
-  if (auto *Answer = std::get_if<answer_caller>(&Effect)) {
-    request_record &Record =
-        Requests[static_cast<std::uint64_t>(Answer->Request)];
-    Record.Answer = Answer->Kind;
-    Record.AnsweredAt = Now;
-    Checker.noteAnswer(Record.Job,
-                       Answer->Kind == answer_kind::Overloaded ||
-                           Answer->Kind == answer_kind::ShuttingDown);
-  } else if (auto *Start = std::get_if<start_attempt>(&Effect)) {
-    carryOut(Host, std::move(*Start));
-  } else if (auto *Stop = std::get_if<stop_attempt>(&Effect)) {
-    carryOut(Host, std::move(*Stop));
-  } else if (auto *Hold = std::get_if<hold_target>(&Effect)) {
-    carryOut(Host, std::move(*Hold));
-  } else if (auto *Datagram = std::get_if<send_datagram>(&Effect)) {
-    carryOut(Host, std::move(*Datagram));
-  } else if (std::holds_alternative<shutdown_finished>(Effect)) {
-    Hosts[Host].HasEnded = true;
-    at(Now, [this, Host] { kill(Host); });
-  }
-}
-
-void pool_world::advanceTargets() {
-  for (auto &[Id, Target] : Targets) {
-    Target.advance(Now);
-  }
-}
-
 emulator::target_model *pool_world::find(const std::string &Target) {
   const auto Found = Targets.find(Target);
   return Found == Targets.end() ? nullptr : &Found->second;
 }
 
-bool pool_world::reaches(std::size_t Host, const std::string &Target) const {
-  return !CutFromTargets.contains(Host) && Targets.contains(Target);
-}
-
-void pool_world::reply(std::size_t Host, std::uint64_t Life, event Event) {
-  at(Now + delay(), [this, Host, Life, Event = std::move(Event)]() mutable {
-    if (Hosts[Host].Life == Life && !CutFromTargets.contains(Host)) {
-      post(Host, std::move(Event));
-    }
-  });
-}
-
-void pool_world::carryOut(std::size_t Host, start_attempt &&Start) {
-  const std::uint64_t Life = Hosts[Host].Life;
-  const bool IsLate = draw() < LateShare;
-  const bool IsReached = reaches(Host, Start.Target);
-  if (IsLate || !IsReached) {
-    at(Now + config::OrderTimeout, [this, Host, Life, Start] {
-      if (Hosts[Host].Life == Life) {
-        post(Host, start_answered{Start.Target, Start.Attempt, Start.Token,
-                                  order_outcome::NoAnswer, std::nullopt});
-      }
-    });
-  }
-  if (!IsReached) {
-    return;
-  }
-  const auto Late = std::chrono::duration_cast<microseconds>(
-      milliseconds(100) + draw() * milliseconds(5'900));
-  at(Now + (IsLate ? Late : delay()), [this, Host, Life, Start, IsLate] {
-    emulator::target_model *Target = find(Start.Target);
-    if (Target == nullptr) {
-      return;
-    }
-    advanceTargets();
-    const order_outcome Outcome =
-        Target->start(Start.Attempt, Start.Token, Start.Deadline,
-                      profileOf(Start.Attempt), Now);
-    if (!IsLate) {
-      reply(Host, Life,
-            start_answered{Start.Target, Start.Attempt, Start.Token, Outcome,
-                           Target->clock(Now)});
-    }
-  });
-}
-
-void pool_world::carryOut(std::size_t Host, stop_attempt &&Stop) {
-  if (!reaches(Host, Stop.Target)) {
-    return;
-  }
-  at(Now + delay(), [this, Host, Life = Hosts[Host].Life, Stop] {
-    if (emulator::target_model *Target = find(Stop.Target)) {
-      const order_outcome Outcome = Target->stop(Stop.Attempt, Stop.Token, Now);
-      reply(Host, Life,
-            stop_answered{Stop.Target, Stop.Attempt, Stop.Token, Outcome});
-    }
-  });
-}
-
-void pool_world::carryOut(std::size_t Host, hold_target &&Hold) {
-  if (!reaches(Host, Hold.Target)) {
-    return;
-  }
-  at(Now + delay(), [this, Host, Life = Hosts[Host].Life, Hold] {
-    answerHold(Host, Life, Hold, Now + Hold.Wait);
-  });
-}
-
-void pool_world::answerHold(std::size_t Host, std::uint64_t Life,
-                            hold_target Hold, boot_time Until) {
-  emulator::target_model *Target = find(Hold.Target);
-  if (Target == nullptr) {
-    return;
-  }
-  hold_answered Answer;
-  Answer.Target = Hold.Target;
-  Answer.Token = Hold.Token;
-  Answer.Call = Hold.Call;
-  Answer.Outcome =
-      Target->hold(Hold.Token, Hold.LastEnd, Hold.Deadline, Answer, Now);
-  Answer.TargetClock = Target->clock(Now);
-  const bool IsWaiting = Answer.Outcome == order_outcome::Accepted &&
-                         Answer.Ended.empty() && Now < Until;
-  if (!IsWaiting) {
-    reply(Host, Life, std::move(Answer));
-    return;
-  }
-  Hold.Deadline.reset();
-  const boot_time Next = std::clamp(Target->nextEnd(), Now + milliseconds(2),
-                                    std::min(Until, Now + milliseconds(10)));
-  at(Next,
-     [this, Host, Life, Hold, Until] { answerHold(Host, Life, Hold, Until); });
-}
-
-void pool_world::carryOut(std::size_t Host, send_datagram &&Sent) {
-  if (draw() < Init.DatagramLoss) {
-    return;
-  }
-  const std::string From = hostName(Host);
-  at(Now + delay(), [this, Host, From, Sent] {
-    for (std::size_t Other = 0; Other < Hosts.size(); ++Other) {
-      if (hostName(Other) != Sent.Address ||
-          CutHosts.contains(std::minmax(Host, Other))) {
-        continue;
-      }
-      if (auto Datagram = decodeDatagram(Sent.Bytes)) {
-        post(Other, datagram_received{std::move(*Datagram), From});
-      }
-    }
-  });
-}
-
 emulator::task_profile pool_world::profileOf(const attempt_ref &Attempt) const {
   const auto Found = Jobs.find(Attempt.Job);
   if (Found == Jobs.end()) {
@@ -473,4 +320,25 @@
   });
 }
 
+std::vector<request_handle> submitFor(pool_world &World, std::size_t Hosts,
+                                      milliseconds Time, milliseconds Gap,
+                                      const world_job &Like,
+                                      const std::string &Prefix) {
+  std::vector<request_handle> Requests;
+  for (milliseconds Passed{0}; Passed < Time; Passed += Gap) {
+    world_job Job = Like;
+    Job.Id = Prefix + std::to_string(Requests.size());
+    Requests.push_back(World.submit(Requests.size() % Hosts, Job));
+    World.runFor(Gap);
+  }
+  return Requests;
+}
+
+void checkDone(const pool_world &World,
+               const std::vector<request_handle> &Requests) {
+  for (const request_handle Request : Requests) {
+    CHECK(World.answerOf(Request) == answer_kind::JobDone);
+  }
+}
+
 } // namespace tarragonbridge::pool
--- a/tests/unit/pool_world.h
+++ b/tests/unit/pool_world.h
@@ -145,4 +145,13 @@
   emulator::rules_checker Checker;
 };
 
+/// Submits jobs evenly over all hosts for a time.
+std::vector<request_handle> submitFor(pool_world &World, std::size_t Hosts,
+                                      milliseconds Time, milliseconds Gap,
+                                      const world_job &Like,
+                                      const std::string &Prefix);
+/// Checks that each of these requests was answered with a whole result.
+void checkDone(const pool_world &World,
+               const std::vector<request_handle> &Requests);
+
 } // namespace tarragonbridge::pool
--- /dev/null
+++ b/tests/unit/pool_world_effects.cpp
@@ -0,0 +1,151 @@
+// What simulated hosts send, and what targets and other hosts make of it.
+#include "pool_world_p.h"
+
+#include "tarragonbridge/pool/config.h"
+
+#include <algorithm>
+
+namespace tarragonbridge::pool {
+
+void pool_world::carryOut(std::size_t Host, effect &&Effect) {
+  if (auto *Answer = std::get_if<answer_caller>(&Effect)) {
+    request_record &Record =
+        Requests[static_cast<std::uint64_t>(Answer->Request)];
+    Record.Answer = Answer->Kind;
+    Record.AnsweredAt = Now;
+    Checker.noteAnswer(Record.Job,
+                       Answer->Kind == answer_kind::Overloaded ||
+                           Answer->Kind == answer_kind::ShuttingDown);
+  } else if (auto *Start = std::get_if<start_attempt>(&Effect)) {
+    carryOut(Host, std::move(*Start));
+  } else if (auto *Stop = std::get_if<stop_attempt>(&Effect)) {
+    carryOut(Host, std::move(*Stop));
+  } else if (auto *Hold = std::get_if<hold_target>(&Effect)) {
+    carryOut(Host, std::move(*Hold));
+  } else if (auto *Datagram = std::get_if<send_datagram>(&Effect)) {
+    carryOut(Host, std::move(*Datagram));
+  } else if (std::holds_alternative<shutdown_finished>(Effect)) {
+    Hosts[Host].HasEnded = true;
+    at(Now, [this, Host] { kill(Host); });
+  }
+}
+
+void pool_world::carryOut(std::size_t Host, start_attempt &&Start) {
+  const std::uint64_t Life = Hosts[Host].Life;
+  const bool IsLate = draw() < LateShare;
+  const bool IsReached = reaches(Host, Start.Target);
+  if (IsLate || !IsReached) {
+    at(Now + config::OrderTimeout, [this, Host, Life, Start] {
+      if (Hosts[Host].Life == Life) {
+        post(Host, start_answered{Start.Target, Start.Attempt, Start.Token,
+                                  order_outcome::NoAnswer, std::nullopt});
+      }
+    });
+  }
+  if (!IsReached) {
+    return;
+  }
+  const auto Late = std::chrono::duration_cast<microseconds>(
+      milliseconds(100) + draw() * milliseconds(5'900));
+  at(Now + (IsLate ? Late : delay()), [this, Host, Life, Start, IsLate] {
+    emulator::target_model *Target = find(Start.Target);
+    if (Target == nullptr) {
+      return;
+    }
+    advanceTargets();
+    const order_outcome Outcome =
+        Target->start(Start.Attempt, Start.Token, Start.Deadline,
+                      profileOf(Start.Attempt), Now);
+    if (!IsLate) {
+      reply(Host, Life,
+            start_answered{Start.Target, Start.Attempt, Start.Token, Outcome,
+                           Target->clock(Now)});
+    }
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, stop_attempt &&Stop) {
+  if (!reaches(Host, Stop.Target)) {
+    return;
+  }
+  at(Now + delay(), [this, Host, Life = Hosts[Host].Life, Stop] {
+    if (emulator::target_model *Target = find(Stop.Target)) {
+      const order_outcome Outcome = Target->stop(Stop.Attempt, Stop.Token, Now);
+      reply(Host, Life,
+            stop_answered{Stop.Target, Stop.Attempt, Stop.Token, Outcome});
+    }
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, hold_target &&Hold) {
+  if (!reaches(Host, Hold.Target)) {
+    return;
+  }
+  at(Now + delay(), [this, Host, Life = Hosts[Host].Life, Hold] {
+    answerHold(Host, Life, Hold, Now + Hold.Wait);
+  });
+}
+
+void pool_world::carryOut(std::size_t Host, send_datagram &&Sent) {
+  if (draw() < Init.DatagramLoss) {
+    return;
+  }
+  const std::string From = hostName(Host);
+  at(Now + delay(), [this, Host, From, Sent] {
+    for (std::size_t Other = 0; Other < Hosts.size(); ++Other) {
+      if (hostName(Other) != Sent.Address ||
+          CutHosts.contains(std::minmax(Host, Other))) {
+        continue;
+      }
+      if (auto Datagram = decodeDatagram(Sent.Bytes)) {
+        post(Other, datagram_received{std::move(*Datagram), From});
+      }
+    }
+  });
+}
+
+void pool_world::reply(std::size_t Host, std::uint64_t Life, event Event) {
+  at(Now + delay(), [this, Host, Life, Event = std::move(Event)]() mutable {
+    if (Hosts[Host].Life == Life && !CutFromTargets.contains(Host)) {
+      post(Host, std::move(Event));
+    }
+  });
+}
+
+bool pool_world::reaches(std::size_t Host, const std::string &Target) const {
+  return !CutFromTargets.contains(Host) && Targets.contains(Target);
+}
+
+void pool_world::answerHold(std::size_t Host, std::uint64_t Life,
+                            hold_target Hold, boot_time Until) {
+  emulator::target_model *Target = find(Hold.Target);
+  if (Target == nullptr) {
+    return;
+  }
+  hold_answered Answer;
+  Answer.Target = Hold.Target;
+  Answer.Token = Hold.Token;
+  Answer.Call = Hold.Call;
+  Answer.Outcome =
+      Target->hold(Hold.Token, Hold.LastEnd, Hold.Deadline, Answer, Now);
+  Answer.TargetClock = Target->clock(Now);
+  const bool IsWaiting = Answer.Outcome == order_outcome::Accepted &&
+                         Answer.Ended.empty() && Now < Until;
+  if (!IsWaiting) {
+    reply(Host, Life, std::move(Answer));
+    return;
+  }
+  Hold.Deadline.reset();
+  const boot_time Next = std::clamp(Target->nextEnd(), Now + milliseconds(2),
+                                    std::min(Until, Now + milliseconds(10)));
+  at(Next,
+     [this, Host, Life, Hold, Until] { answerHold(Host, Life, Hold, Until); });
+}
+
+void pool_world::advanceTargets() {
+  for (auto &[Id, Target] : Targets) {
+    Target.advance(Now);
+  }
+}
+
+} // namespace tarragonbridge::pool
