--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -9,15 +9,20 @@
 
 namespace {
 
-/// Places one task of a job anew.
-void placeAgain(step &Step, open_job &Job, job_task &Task,
-                std::string_view Reason) {
+/// Refused offers are counted only: there may be several for each task.
+void logPlacedAgain(const step &Step, const open_job &Job, const job_task &Task,
+                    const task_ended &Ended) {
   Step.log("task_placed_again", {{"job", Job.Id},
                                  {"step", std::to_string(Task.Step)},
                                  {"task", std::to_string(Task.Index)},
                                  {"run", std::to_string(Task.Run)},
+                                 {"target", Ended.Target},
                                  {"owner", Task.Owner.Name},
-                                 {"reason", std::string(Reason)}});
+                                 {"reason", std::string(nameOf(Ended.End))}});
+}
+
+/// Places one task of a job anew.
+void placeAgain(step &Step, open_job &Job, job_task &Task) {
   Task.Phase = task_phase::Unplaced;
   pool_view View = viewPool(Step.State, Step.Now);
   const auto Placing = placeTask(
@@ -71,7 +76,7 @@
     }
     if (job_task *Task = findTask(Found->second, Attempt)) {
       ++Task->Rounds;
-      placeAgain(Step, Found->second, *Task, "refused");
+      placeAgain(Step, Found->second, *Task);
     }
   }
 }
@@ -110,7 +115,8 @@
     return;
   }
   Task->Rounds = 0;
-  placeAgain(Step, Job, *Task, nameOf(Ended.End));
+  logPlacedAgain(Step, Job, *Task, Ended);
+  placeAgain(Step, Job, *Task);
 }
 
 void takeMove(step &Step, const host_ref &From, const tasks_moved &Moved) {
--- a/src/core/pool/custody.cpp
+++ b/src/core/pool/custody.cpp
@@ -153,22 +153,22 @@
       loseToOther("fenced", Context);
       return;
     }
-    doubt(Attempt, Context);
+    doubt(Attempt, nameOf(Answer.Outcome), Context);
     return;
   case order_outcome::NoAnswer:
     Context.Counters.add(counter::StartsUnanswered);
     noteUnanswered(Attempt.StartedAt, Context);
-    doubt(Attempt, Context);
+    doubt(Attempt, nameOf(Answer.Outcome), Context);
     return;
   case order_outcome::OldRun:
     Context.Counters.add(counter::StartsRefused);
     Attempt.NeedsHigherRun = true;
-    doubt(Attempt, Context);
+    doubt(Attempt, nameOf(Answer.Outcome), Context);
     return;
   case order_outcome::OtherIncarnation:
     // Another process has the address: this target is gone.
     IsGone = true;
-    doubt(Attempt, Context);
+    doubt(Attempt, nameOf(Answer.Outcome), Context);
     return;
   case order_outcome::Unhealthy:
   case order_outcome::NotSent:
@@ -331,10 +331,11 @@
   Context.Counters.add(counter::TokensRaised);
 }
 
-void custody::doubt(owned_attempt &Attempt, custody_context &Context) {
+void custody::doubt(owned_attempt &Attempt, std::string_view Reason,
+                    custody_context &Context) {
   Attempt.Phase = attempt_phase::Doubted;
   Attempt.DoubtedAt = Context.Now;
-  logAttempt("attempt_doubted", Attempt.Task.Attempt, "no_answer", Context);
+  logAttempt("attempt_doubted", Attempt.Task.Attempt, Reason, Context);
   if (Attempt.Token == Token && Context.Rules.RaiseTokenInDoubt) {
     // A list under the same token could be overtaken by the start.
     raiseToken(Context);
@@ -376,7 +377,7 @@
   raiseToken(Context);
   for (auto &[Ref, Attempt] : Attempts) {
     if (Attempt.Phase == attempt_phase::Sent) {
-      doubt(Attempt, Context);
+      doubt(Attempt, "target_restarted", Context);
     }
   }
 }
--- a/src/core/pool/custody_p.h
+++ b/src/core/pool/custody_p.h
@@ -132,7 +132,8 @@
   };
 
   void raiseToken(custody_context &Context);
-  void doubt(owned_attempt &Attempt, custody_context &Context);
+  void doubt(owned_attempt &Attempt, std::string_view Reason,
+             custody_context &Context);
   void end(const attempt_ref &Attempt, attempt_end End, bool CanRequeue,
            custody_context &Context);
   void endAll(attempt_end End, custody_context &Context);
--- a/src/core/pool/job_ends.cpp
+++ b/src/core/pool/job_ends.cpp
@@ -12,13 +12,18 @@
 /// How long ended jobs are remembered for resubmissions.
 constexpr milliseconds EndedRetention{15'000};
 
-void rememberEnded(step &Step, const open_job &Job, bool IsDone) {
-  coordinator_state &Coordinator = Step.State.Coordinator;
-  std::uint32_t LastRun = 0;
+/// @returns the highest number of an offer of any task
+std::uint32_t lastRun(const open_job &Job) {
+  std::uint32_t Last = 0;
   for (const job_task &Task : Job.Tasks) {
-    LastRun = std::max(LastRun, Task.Run);
+    Last = std::max(Last, Task.Run);
   }
-  Coordinator.Ended[Job.Id] = {IsDone, LastRun};
+  return Last;
+}
+
+void rememberEnded(step &Step, const open_job &Job, bool IsDone) {
+  coordinator_state &Coordinator = Step.State.Coordinator;
+  Coordinator.Ended[Job.Id] = {IsDone, lastRun(Job)};
   Coordinator.EndedOrder.emplace_back(Step.Now, Job.Id);
   while (Coordinator.EndedOrder.front().first + EndedRetention < Step.Now) {
     Coordinator.Ended.erase(Coordinator.EndedOrder.front().second);
@@ -67,6 +72,7 @@
            {{"job", Job.Id},
             {"route", Job.Route.Name},
             {"tasks", std::to_string(Job.Tasks.size())},
+            {"offers", std::to_string(lastRun(Job))},
             {"age_ms", describe(Age)},
             {"predicted_ms", describe(Job.PredictedEnd)},
             {"objective_ms", describe(until(Job.EndBy, Job.PostedAt))}});
