Listen on an address alone; tests that run at once use addresses of their own

Ruled out from the code: a heartbeat that is too old (a holder is looked up in the host list alone), a connection kept past the server's idle time (30 s), a listing without cp-3 (all entries are written before the first host starts). Change: the option is gone; an address in use is an error at start (`start_failed step=listen`). A restart on an address in TIME_WAIT still works (hosts.sh restarts two hosts after SIGKILL). Tests, integration scripts and the scenario runner listen on a loopback address made from their process id. The fixed ports of unit tests (19418, seen failing beside a second unit_tests) no longer meet either.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -293,8 +293,7 @@
       static_cast<unsigned>(Init.IdleTimeout.count()),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
       MHD_OPTION_THREAD_POOL_SIZE, Init.Threads, MHD_OPTION_NOTIFY_COMPLETED,
-      &impl::onCompleted, Impl.get(), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-      MHD_OPTION_END);
+      &impl::onCompleted, Impl.get(), MHD_OPTION_END);
   if (Impl->Daemon == nullptr) {
     return Fail("can't listen on this address");
   }
--- a/tests/integration/hosts.sh
+++ b/tests/integration/hosts.sh
@@ -4,10 +4,10 @@
 # holder is answered for.
 . "$(dirname "$0")/lib.sh"
 
-port=$((12000 + ($$ * 7) % 18000))
-store=127.0.0.1:$port
-host() { echo "127.0.0.1:$((port + 20 + $1))"; }
-peer() { echo "127.0.0.1:$((port + 30 + $1))"; }
+port=12000
+store=$ip:$port
+host() { echo "$ip:$((port + 20 + $1))"; }
+peer() { echo "$ip:$((port + 30 + $1))"; }
 put() {
   curl -sf "http://$store/v3/kv/put" -o /dev/null \
     -d "{\"key\":\"$(printf %s "$1" | base64 -w0)\",\"value\":\"$(printf %s "$2" | base64 -w0)\"}"
@@ -22,13 +22,13 @@
 
 start "$bin/store_standin" --listen "$store"
 for n in 1 2; do
-  start "$bin/target_standin" --listen "127.0.0.1:$((port + 10 + n))" --slots 100 --record "$work/target-$n.rec"
+  start "$bin/target_standin" --listen "$ip:$((port + 10 + n))" --slots 100 --record "$work/target-$n.rec"
 done
 await "http://$store/admin/calls"
 put tarragonbridge/settings/ '{"settings":{"failure_domains":["curepipe"]}}'
 put tarragonbridge/settings/agents '{"settings":{}}'
 for n in 1 2; do
-  put "platform/hosts/t$n" "{\"role\":\"target\",\"failure_domain\":\"curepipe\",\"rack\":\"r1\",\"address\":\"127.0.0.1:$((port + 10 + n))\",\"state\":\"live\",\"slots\":100,\"cores\":30,\"memory_mb\":65536,\"accelerators\":0,\"connections\":60}"
+  put "platform/hosts/t$n" "{\"role\":\"target\",\"failure_domain\":\"curepipe\",\"rack\":\"r1\",\"address\":\"$ip:$((port + 10 + n))\",\"state\":\"live\",\"slots\":100,\"cores\":30,\"memory_mb\":65536,\"accelerators\":0,\"connections\":60}"
 done
 declare -A host_pid
 for n in 1 2 3; do
--- a/tests/integration/lib.sh
+++ b/tests/integration/lib.sh
@@ -2,6 +2,8 @@
 set -euo pipefail
 bin=$1
 work=$(mktemp -d)
+# A loopback address that no other living process uses: tests run at the same time.
+ip=127.$((64 + ($$ >> 16))).$((($$ >> 8) & 255)).$(($$ & 255))
 pids=()
 cleanup() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
--- a/tests/integration/settings.sh
+++ b/tests/integration/settings.sh
@@ -4,8 +4,8 @@
 # an older state. What was accepted is in force on both hosts and never reverts.
 . "$(dirname "$0")/lib.sh"
 
-port=$((11000 + $$ % 8000))
-store=127.0.0.1:$port one=127.0.0.1:$((port + 1)) two=127.0.0.1:$((port + 3))
+port=12000
+store=$ip:$port one=$ip:$((port + 1)) two=$ip:$((port + 3))
 admin() { curl -sf "http://$store/admin/$1" -o /dev/null -d "${2:-{\}}"; }
 revision() { curl -s "http://$store/v3/kv/range" -d '{"key":"YQ=="}' | sed 's/.*"revision":"\([0-9]*\)".*/\1/'; }
 # put HOST PATH REVISION TEXT: prints the status, leaves the body in $work/body
@@ -24,8 +24,8 @@
 await "http://$store/admin/calls"
 for n in 1 3; do
   cat >"$work/$n.json" <<JSON
-{ "host":"h-$n", "failure_domain":"a", "listen":"127.0.0.1:$((port + n))",
-  "peer_listen":"127.0.0.1:$((port + n + 1))", "store":["$store"] }
+{ "host":"h-$n", "failure_domain":"a", "listen":"$ip:$((port + n))",
+  "peer_listen":"$ip:$((port + n + 1))", "store":["$store"] }
 JSON
   start "$bin/tarragonbridged" --config "$work/$n.json"
 done
--- a/tests/integration/thin_path.sh
+++ b/tests/integration/thin_path.sh
@@ -3,8 +3,8 @@
 # input is refused, SIGTERM ends the daemon with nothing cut off.
 . "$(dirname "$0")/lib.sh"
 
-port=$((20000 + $$ % 12000)) # below the range of ephemeral ports
-store=127.0.0.1:$port host=127.0.0.1:$((port + 1))
+port=12000
+store=$ip:$port host=$ip:$((port + 1))
 put() {
   curl -sf "http://$store/v3/kv/put" -o /dev/null \
     -d "{\"key\":\"$(printf %s "$1" | base64 -w0)\",\"value\":\"$(printf %s "$2" | base64 -w0)\"}"
@@ -12,18 +12,18 @@
 
 start "$bin/store_standin" --listen "$store"
 for n in 1 2; do
-  start "$bin/target_standin" --listen "127.0.0.1:$((port + 10 + n))" --slots 100 --record "$work/target-$n.rec"
+  start "$bin/target_standin" --listen "$ip:$((port + 10 + n))" --slots 100 --record "$work/target-$n.rec"
 done
 await "http://$store/admin/calls"
 put tarragonbridge/settings/ '{"settings":{"failure_domains":["curepipe"]}}'
 put tarragonbridge/settings/agents '{"settings":{}} // inherits all'
 for n in 1 2; do
-  put "platform/hosts/t$n" "{\"role\":\"target\",\"failure_domain\":\"curepipe\",\"rack\":\"r1\",\"address\":\"127.0.0.1:$((port + 10 + n))\",\"state\":\"live\",\"slots\":100,\"cores\":30,\"memory_mb\":65536,\"accelerators\":0,\"connections\":60}"
+  put "platform/hosts/t$n" "{\"role\":\"target\",\"failure_domain\":\"curepipe\",\"rack\":\"r1\",\"address\":\"$ip:$((port + 10 + n))\",\"state\":\"live\",\"slots\":100,\"cores\":30,\"memory_mb\":65536,\"accelerators\":0,\"connections\":60}"
 done
 
 cat >"$work/daemon.json" <<JSON
 { "host":"cp-1", "failure_domain":"curepipe", // this host
-  "listen":"$host", "peer_listen":"127.0.0.1:$((port + 2))", "store":["$store"] }
+  "listen":"$host", "peer_listen":"$ip:$((port + 2))", "store":["$store"] }
 JSON
 start "$bin/tarragonbridged" --config "$work/daemon.json"
 daemon=$!
--- a/tests/unit/fault_proxy_test.cpp
+++ b/tests/unit/fault_proxy_test.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "standins/own_address.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -72,14 +73,12 @@
     return Init;
   }
 
-  std::string Listen =
-      "127.0.0.1:" + std::to_string(10'000 + randomPort() % 20'000);
+  static constexpr std::uint16_t ServerPort = 19'405;
+  std::string Listen = ownAddress(ServerPort);
   std::string Address;
   http_server Server{serverInit(Listen)};
   link_relay Relay;
   http_client Client;
-
-  static unsigned randomPort() { return std::random_device()(); }
 };
 
 struct faults_case {
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -2,6 +2,7 @@
 #include "closing_server.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "standins/own_address.h"
 
 #include <catch2/catch.hpp>
 
@@ -53,7 +54,7 @@
 
 TEST_CASE("a call without an answer, or with half of one, ends when its caller "
           "says so") {
-  http_server Server({"127.0.0.1:19404"});
+  http_server Server({ownAddress(19404)});
   const bool IsBegun = GENERATE(false, true);
   const auto OnRequest = [&](request_handle Handle, http_request &&) {
     if (IsBegun) {
@@ -65,7 +66,7 @@
   http_client Client;
   const boot_time Started = bootNow();
   http_call Call;
-  Call.Url = "http://127.0.0.1:19404/";
+  Call.Url = "http://" + ownAddress(19404) + "/";
   Call.Timeout = std::chrono::seconds(20);
   Call.KeepGoing = [&] { return bootNow() - Started < milliseconds(2'500); };
   const http_result Result = sendAndWait(Client, std::move(Call));
--- a/tests/unit/poolhost_test.cpp
+++ b/tests/unit/poolhost_test.cpp
@@ -3,6 +3,7 @@
 #include "closing_server.h"
 #include "poolhost/async_http_client.h"
 #include "poolhost/async_http_server.h"
+#include "standins/own_address.h"
 
 #include <catch2/catch.hpp>
 #include <optional>
@@ -153,7 +154,7 @@
        "HTTP/1.1 431"},
   }));
   CAPTURE(Case.Bytes.substr(0, 60), Case.ClosesEarly);
-  const std::string Address = "127.0.0.1:19417";
+  const std::string Address = ownAddress(19417);
   epoll_loop Loop;
   server_init Init;
   Init.ListenAddress = Address;
@@ -176,7 +177,7 @@
 
 TEST_CASE("a caller's disconnection is detected while its request is open",
           "[pool]") {
-  const std::string Address = "127.0.0.1:19418";
+  const std::string Address = ownAddress(19418);
   epoll_loop Loop;
   server_init Init;
   Init.ListenAddress = Address;
--- a/tests/unit/store_client_test.cpp
+++ b/tests/unit/store_client_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/watch_stream_p.h"
 
 #include "net/http_server.h"
+#include "standins/own_address.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -143,8 +144,8 @@
 } // namespace
 
 TEST_CASE("endpoints are used in turn, and no write is repeated") {
-  fixed_store Failing("127.0.0.1:19401", 503);
-  fixed_store Working("127.0.0.1:19402", 200);
+  fixed_store Failing(ownAddress(19401), 503);
+  fixed_store Working(ownAddress(19402), 200);
   http_client Client;
   const store_client Store(Client,
                            {"127.0.0.1:1", Failing.Address, Working.Address});
@@ -158,7 +159,7 @@
 }
 
 TEST_CASE("a host keeps to its budget of calls") {
-  fixed_store Working("127.0.0.1:19403", 200);
+  fixed_store Working(ownAddress(19403), 200);
   http_client Client;
   const store_client Store(Client, {Working.Address});
   reason Reason = reason::Count;
--- a/tools/scenario_runner/bindings.cpp
+++ b/tools/scenario_runner/bindings.cpp
@@ -7,6 +7,7 @@
 #include "core/json_text.h"
 #include "net/address.h"
 #include "scenario_runner/lua_json.h"
+#include "standins/own_address.h"
 
 #include <array>
 #include <csignal>
@@ -182,9 +183,8 @@
   return 1;
 }
 
-bool isFree(std::uint16_t Port) {
-  sockaddr_in Address = *parseAddress("127.0.0.1:0");
-  Address.sin_port = htons(Port);
+bool isFree(const std::string &Text) {
+  sockaddr_in Address = *parseAddress(Text);
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const bool IsBound =
       bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address) == 0;
@@ -197,13 +197,13 @@
   // Below the ports that outgoing connections take.
   static std::mt19937 Random{std::random_device()()};
   std::uniform_int_distribution<std::uint16_t> Ports(10'000, 32'000);
-  static std::set<std::uint16_t> Given;
-  std::uint16_t Port = Ports(Random);
-  while (Given.contains(Port) || !isFree(Port)) {
-    Port = Ports(Random);
+  static std::set<std::string> Given;
+  std::string Address = ownAddress(Ports(Random));
+  while (Given.contains(Address) || !isFree(Address)) {
+    Address = ownAddress(Ports(Random));
   }
-  Given.insert(Port);
-  lua_pushstring(Lua, ("127.0.0.1:" + std::to_string(Port)).c_str());
+  Given.insert(Address);
+  lua_pushstring(Lua, Address.c_str());
   return 1;
 }
 
