Views of owners without their targets where only saturation is asked for

Cause: each host built the whole view of the pool (every schedulable target of every host, names included) ten times a second only to know how many slots have queues, and looked up each reservation among the targets of all hosts. Change: currentSaturation() views owners only; a reservation is looked up among the targets of its own owner. job_offers is split into short functions.

--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -147,8 +147,8 @@
 void sampleSaturation(reducer_context &Ctx) {
   constexpr double SampleWeight = 0.15; // of a new sample
   double &Saturation = Ctx.State.Coordinator.Saturation;
-  Saturation += SampleWeight *
-                (saturationOf(makePoolView(Ctx.State, Ctx.Now)) - Saturation);
+  Saturation +=
+      SampleWeight * (currentSaturation(Ctx.State, Ctx.Now) - Saturation);
 }
 
 void submitJob(reducer_context &Ctx, job_submitted &&Submitted) {
--- a/src/core/pool/job_offers.cpp
+++ b/src/core/pool/job_offers.cpp
@@ -3,61 +3,106 @@
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace tarragonbridge::pool {
 
+namespace {
+/// @returns what the coordinator knows of an owner, without reservations
+owner_view makeOwnerView(const std::string &Name, milliseconds RoundTrip,
+                         const host_state &HostState) {
+  double SpeedSum = 0;
+  std::size_t SchedulableCount = 0;
+  for (const target_free_capacity &FreeTarget : HostState.Targets) {
+    if (FreeTarget.IsSchedulable) {
+      SpeedSum += FreeTarget.Speed;
+      ++SchedulableCount;
+    }
+  }
+  owner_view Owner{Name, RoundTrip, HostState.PredictedQueueWait};
+  if (SchedulableCount > 0) {
+    Owner.Slots = HostState.Slots;
+    Owner.MeanSpeed = SpeedSum / static_cast<double>(SchedulableCount);
+  }
+  return Owner;
+}
+
+/// @returns the view of a peer that offers can be sent to, nothing of others
+std::optional<owner_view> makePeerView(const pool_state &State,
+                                       const std::string &Name,
+                                       const peer_host &Peer, boot_time Now) {
+  if (Peer.State.IsShuttingDown ||
+      !peerReceivedWithin(Peer, Now, config::HandoverPeerTimeout)) {
+    return std::nullopt;
+  }
+  const bool IsSameDomain =
+      Peer.Member.FailureDomain == State.Init.FailureDomain;
+  owner_view Owner = makeOwnerView(
+      Name, IsSameDomain ? config::DomainRoundTrip : config::RemoteRoundTrip,
+      Peer.State);
+  Owner.IsNeighbour = Peer.IsNeighbour;
+  for (const auto &Reserved : Peer.Reservations) {
+    if (Reserved.Target.empty() && Owner.Slots > 0) {
+      Owner.PredictedQueueWait += Reserved.RunTime / Owner.Slots;
+    }
+  }
+  return Owner;
+}
+
+owner_view makeSelfView(const pool_state &State, const host_state &HostState) {
+  owner_view Owner =
+      makeOwnerView(State.Init.Name, config::LocalRoundTrip, HostState);
+  Owner.IsSelf = true;
+  return Owner;
+}
+
+/// Adds an owner's targets, less what is reserved there.
+void addFreeTargets(pool_view &View, const host_state &HostState,
+                    const std::deque<peer_host::reservation> &Reservations) {
+  const std::size_t Owner = View.Owners.size() - 1;
+  const std::size_t First = View.FreeTargets.size();
+  for (const target_free_capacity &FreeTarget : HostState.Targets) {
+    if (FreeTarget.IsSchedulable) {
+      View.FreeTargets.push_back({Owner, FreeTarget.Target, FreeTarget.Service,
+                                  FreeTarget.Free, FreeTarget.Speed});
+    }
+  }
+  for (const auto &Reserved : Reservations) {
+    for (std::size_t Index = First; Index < View.FreeTargets.size(); ++Index) {
+      if (View.FreeTargets[Index].Target == Reserved.Target) {
+        View.FreeTargets[Index].Free -= Reserved.RequiredResources;
+      }
+    }
+  }
+}
+} // namespace
+
 pool_view makePoolView(pool_state &State, boot_time Now) {
   pool_view View;
   View.TieBreakSeed = State.Random();
-  const auto AddOwner = [&](const std::string &Name, milliseconds RoundTrip,
-                            const host_state &HostState) {
-    const std::size_t Index = View.Owners.size();
-    double SpeedSum = 0;
-    std::size_t SchedulableCount = 0;
-    for (const target_free_capacity &FreeTarget : HostState.Targets) {
-      if (FreeTarget.IsSchedulable) {
-        View.FreeTargets.push_back({Index, FreeTarget.Target,
-                                    FreeTarget.Service, FreeTarget.Free,
-                                    FreeTarget.Speed});
-        SpeedSum += FreeTarget.Speed;
-        ++SchedulableCount;
-      }
-    }
-    View.Owners.push_back(
-        {Name, RoundTrip, HostState.PredictedQueueWait,
-         SchedulableCount == 0 ? 0 : HostState.Slots,
-         SchedulableCount == 0
-             ? 1
-             : SpeedSum / static_cast<double>(SchedulableCount)});
-  };
-  AddOwner(State.Init.Name, config::LocalRoundTrip, makeHostState(State, Now));
-  View.Owners.back().IsSelf = true;
+  const host_state Own = makeHostState(State, Now);
+  View.Owners.push_back(makeSelfView(State, Own));
+  addFreeTargets(View, Own, {});
   for (const auto &[Name, Peer] : State.Peers) {
-    if (Peer.State.IsShuttingDown ||
-        !peerReceivedWithin(Peer, Now, config::HandoverPeerTimeout)) {
-      continue;
-    }
-    const bool IsSameDomain =
-        Peer.Member.FailureDomain == State.Init.FailureDomain;
-    AddOwner(Name,
-             IsSameDomain ? config::DomainRoundTrip : config::RemoteRoundTrip,
-             Peer.State);
-    owner_view &Owner = View.Owners.back();
-    Owner.IsNeighbour = Peer.IsNeighbour;
-    for (const auto &Reserved : Peer.Reservations) {
-      for (available_target &FreeTarget : View.FreeTargets) {
-        if (FreeTarget.Target == Reserved.Target) {
-          FreeTarget.Free -= Reserved.RequiredResources;
-        }
-      }
-      if (Reserved.Target.empty() && Owner.Slots > 0) {
-        Owner.PredictedQueueWait += Reserved.RunTime / Owner.Slots;
-      }
+    if (auto Owner = makePeerView(State, Name, Peer, Now)) {
+      View.Owners.push_back(std::move(*Owner));
+      addFreeTargets(View, Peer.State, Peer.Reservations);
     }
   }
   return View;
 }
 
+double currentSaturation(const pool_state &State, boot_time Now) {
+  std::vector<owner_view> Owners{
+      makeSelfView(State, makeHostState(State, Now))};
+  for (const auto &[Name, Peer] : State.Peers) {
+    if (auto Owner = makePeerView(State, Name, Peer, Now)) {
+      Owners.push_back(std::move(*Owner));
+    }
+  }
+  return saturationOf(Owners);
+}
+
 host_ref hostRefOf(const pool_state &State, const std::string &Name) {
   const auto Found = State.Peers.find(Name);
   return Found == State.Peers.end()
--- a/src/core/pool/job_offers_p.h
+++ b/src/core/pool/job_offers_p.h
@@ -12,6 +12,9 @@
 /// less the reservations
 pool_view makePoolView(pool_state &State, boot_time Now);
 
+/// @returns saturationOf() the reachable owners
+double currentSaturation(const pool_state &State, boot_time Now);
+
 /// @returns the current process of a peer; of this host if it has no peer of
 /// that name
 host_ref hostRefOf(const pool_state &State, const std::string &Name);
--- a/src/core/pool/placement.cpp
+++ b/src/core/pool/placement.cpp
@@ -139,10 +139,10 @@
 }
 } // namespace
 
-double saturationOf(const pool_view &View) {
+double saturationOf(const std::vector<owner_view> &Owners) {
   double Slots = 0;
   double QueuedSlots = 0;
-  for (const owner_view &Owner : View.Owners) {
+  for (const owner_view &Owner : Owners) {
     Slots += Owner.Slots;
     QueuedSlots += Owner.PredictedQueueWait > milliseconds(0) ? Owner.Slots : 0;
   }
--- a/src/core/pool/placement_p.h
+++ b/src/core/pool/placement_p.h
@@ -88,7 +88,7 @@
                                      const placement_request &Request);
 
 /// @returns the fraction of all slots whose owners have tasks queued, 0 to 1
-double saturationOf(const pool_view &View);
+double saturationOf(const std::vector<owner_view> &Owners);
 
 /// Answers a load beyond the capacity of the targets: a queued task then waits
 /// for longer than predicted, since later tasks that are more urgent overtake.
