--- a/tests/integration/hosts.sh
+++ b/tests/integration/hosts.sh
@@ -8,10 +8,6 @@
 store=$ip:$port
 host() { echo "$ip:$((port + 20 + $1))"; }
 peer() { echo "$ip:$((port + 30 + $1))"; }
-put() {
-  curl -sf "http://$store/v3/kv/put" -o /dev/null \
-    -d "{\"key\":\"$(printf %s "$1" | base64 -w0)\",\"value\":\"$(printf %s "$2" | base64 -w0)\"}"
-}
 start_host() {
   start "$bin/tarragonbridged" --config "$work/$1.json"
   host_pid[$1]=$!
@@ -20,16 +16,8 @@
   fail "host $1 lists no targets"
 }
 
-start "$bin/store_standin" --listen "$store"
-for n in 1 2; do
-  start "$bin/target_standin" --listen "$ip:$((port + 10 + n))" --slots 100 --record "$work/target-$n.rec"
-done
-await "http://$store/admin/calls"
-put tarragonbridge/settings/ '{"settings":{"failure_domains":["curepipe"]}}'
+start_platform
 put tarragonbridge/settings/agents '{"settings":{}}'
-for n in 1 2; do
-  put "platform/hosts/t$n" "{\"role\":\"target\",\"failure_domain\":\"curepipe\",\"rack\":\"r1\",\"address\":\"$ip:$((port + 10 + n))\",\"state\":\"live\",\"slots\":100,\"cores\":30,\"memory_mb\":65536,\"accelerators\":0,\"connections\":60}"
-done
 declare -A host_pid
 for n in 1 2 3; do
   put "platform/hosts/cp-$n" "{\"role\":\"entry\",\"failure_domain\":\"curepipe\",\"rack\":\"e$n\",\"address\":\"$(host $n)\",\"peer_address\":\"$(peer $n)\",\"state\":\"live\"}"
--- a/tests/integration/thin_path.sh
+++ b/tests/integration/thin_path.sh
@@ -5,21 +5,9 @@
 
 port=12000
 store=$ip:$port host=$ip:$((port + 1))
-put() {
-  curl -sf "http://$store/v3/kv/put" -o /dev/null \
-    -d "{\"key\":\"$(printf %s "$1" | base64 -w0)\",\"value\":\"$(printf %s "$2" | base64 -w0)\"}"
-}
 
-start "$bin/store_standin" --listen "$store"
-for n in 1 2; do
-  start "$bin/target_standin" --listen "$ip:$((port + 10 + n))" --slots 100 --record "$work/target-$n.rec"
-done
-await "http://$store/admin/calls"
-put tarragonbridge/settings/ '{"settings":{"failure_domains":["curepipe"]}}'
+start_platform
 put tarragonbridge/settings/agents '{"settings":{}} // inherits all'
-for n in 1 2; do
-  put "platform/hosts/t$n" "{\"role\":\"target\",\"failure_domain\":\"curepipe\",\"rack\":\"r1\",\"address\":\"$ip:$((port + 10 + n))\",\"state\":\"live\",\"slots\":100,\"cores\":30,\"memory_mb\":65536,\"accelerators\":0,\"connections\":60}"
-done
 
 cat >"$work/daemon.json" <<JSON
 { "host":"cp-1", "failure_domain":"curepipe", // this host
--- a/tests/unit/load_generator_test.cpp
+++ b/tests/unit/load_generator_test.cpp
@@ -29,6 +29,19 @@
   return static_cast<double>(Hosts * TargetsPerHost) / SiteMixTargets;
 }
 
+/// @returns a pool of three failure domains with targets as on the users' sites
+simulation_init makeSite(std::size_t Hosts, std::size_t TargetsPerDomain,
+                         std::uint64_t Seed = 1) {
+  simulation_init Init;
+  Init.Hosts = Hosts;
+  Init.Domains = Domains;
+  Init.TargetsPerDomain = TargetsPerDomain;
+  Init.Speeds = {0.6, 1, 1.6};
+  Init.DatagramLoss = 0.001;
+  Init.Seed = Seed;
+  return Init;
+}
+
 load_report runLoad(pool_simulation &Simulation, std::size_t Hosts,
                     double RateFactor, std::uint64_t Seed = 1) {
   constexpr milliseconds WarmUp{1'500};
@@ -72,13 +85,8 @@
       {"many hosts, burst", 24, 1.7, 0.57, 0.05, 0.3},
   }));
   INFO(Case.Name);
-  simulation_init Init;
-  Init.Hosts = Case.Hosts;
-  Init.Domains = Domains;
-  Init.TargetsPerDomain = TargetsPerHost * Case.Hosts / Domains;
-  Init.Speeds = {0.6, 1, 1.6};
-  Init.DatagramLoss = 0.001;
-  pool_simulation Simulation(Init);
+  pool_simulation Simulation(
+      makeSite(Case.Hosts, TargetsPerHost * Case.Hosts / Domains));
   Simulation.settle();
   const load_report Report = runLoad(Simulation, Case.Hosts, Case.RateFactor);
   constexpr double MaxAbandoned = 0.01;
@@ -108,14 +116,8 @@
   constexpr std::uint64_t Plays = 6;
   std::map<std::string, load_report::worth> Total;
   for (std::uint64_t Seed = 1; Seed <= Plays; ++Seed) {
-    simulation_init Init;
-    Init.Hosts = Case.Hosts;
-    Init.Domains = Domains;
-    Init.TargetsPerDomain = TargetsPerHost * Case.Hosts / Domains;
-    Init.Speeds = {0.6, 1, 1.6};
-    Init.DatagramLoss = 0.001;
-    Init.Seed = Seed;
-    pool_simulation Simulation(Init);
+    pool_simulation Simulation(
+        makeSite(Case.Hosts, TargetsPerHost * Case.Hosts / Domains, Seed));
     Simulation.settle();
     const load_report Report =
         runLoad(Simulation, Case.Hosts, Case.RateFactor, Seed);
@@ -189,13 +191,10 @@
     const char *Text = std::getenv(Name);
     return Text == nullptr ? Default : std::strtod(Text, nullptr);
   };
-  simulation_init Init;
-  Init.Hosts = static_cast<std::size_t>(Get("HOSTS", 24));
-  Init.Domains = 3;
-  Init.TargetsPerDomain = static_cast<std::size_t>(Get("TARGETS", 48));
-  Init.Speeds = {0.6, 1, 1.6};
-  Init.DatagramLoss = 0.001;
-  Init.Seed = static_cast<std::uint64_t>(Get("SEED", 1));
+  const simulation_init Init =
+      makeSite(static_cast<std::size_t>(Get("HOSTS", 24)),
+               static_cast<std::size_t>(Get("TARGETS", 48)),
+               static_cast<std::uint64_t>(Get("SEED", 1)));
   pool_simulation Simulation(Init);
   Simulation.settle();
   load_generator_init Load;
