--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -134,17 +134,16 @@
     const bool IsNewPeer = Peer.LastReceivedAt == boot_time{} &&
                            Peer.KnownSince + NewPeerStateTime >= Now;
     return (Peer.IsNeighbour || IsNewPeer ? ForNeighbours : ForNonNeighbours) ||
-           Peer.IsStateUnsent;
+           Peer.NeedsState;
   }
   bool isAny() const { return ForNeighbours || ForNonNeighbours || ForNew; }
 };
 
 due_states dueStates(const pool_state &State, boot_time Now) {
-  return {neighbourStateDueAt(State) <= Now,
-          nonNeighbourStateDueAt(State) <= Now,
-          std::any_of(
-              State.Peers.begin(), State.Peers.end(),
-              [](const auto &Entry) { return Entry.second.IsStateUnsent; })};
+  return {
+      neighbourStateDueAt(State) <= Now, nonNeighbourStateDueAt(State) <= Now,
+      std::any_of(State.Peers.begin(), State.Peers.end(),
+                  [](const auto &Entry) { return Entry.second.NeedsState; })};
 }
 
 /// @param[in] HostState result of encodeState, empty when none is due
@@ -236,7 +235,7 @@
   Peer->StateNumber = std::max(Peer->StateNumber, Datagram.StateNumber);
   // Each side counts as alive once the other has acknowledged a state of it, so
   // the first datagrams are responded to at once.
-  Peer->IsStateUnsent |= Peer->LastReceivedAt == boot_time{};
+  Peer->NeedsState |= Peer->LastReceivedAt == boot_time{};
   if (!isFresh(Ctx, Datagram)) {
     return; // sent before this host was paused, or the sender gets none from it
   }
@@ -333,7 +332,7 @@
     const bool IsStateDue = Due.isFor(Peer, Ctx.Now);
     if (IsStateDue || Peer.Link.isDue(Ctx.Now)) {
       sendTo(Ctx, Peer, IsStateDue ? HostState : std::string_view());
-      Peer.IsStateUnsent = Peer.IsStateUnsent && !IsStateDue;
+      Peer.NeedsState = Peer.NeedsState && !IsStateDue;
     }
     ++Entry;
   }
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -31,7 +31,7 @@
   bool HasState = false;
   host_state State;
   bool IsNeighbour = false;
-  bool IsStateUnsent = true; ///< no state was sent to it yet
+  bool NeedsState = true; ///< at once: it is new, or can't have confirmed one
   peer_link Link;
   /// Capacity reserved for offered tasks that its state doesn't show yet.
   struct reservation {
