Wording of src/net: operations by the field's terms

Held is OpenExchanges, Ending IsStopping, wakeStream resumeStream, mayHaveLeft mayHaveBeenSent; comments say which library call and which state they are about. No statement changed.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t MaxSocketEvents = 256;
 constexpr std::size_t MaxAnswerBytes = 64U << 20U;
 
-/// A call under way.
+/// A request in flight, and its result so far.
 struct transfer {
   http_call Call;
   http_client::completion Done;
@@ -146,9 +146,9 @@
   addBody(Easy, Transfer);
 }
 
-/// @returns whether any of the request's content may have reached the other
-/// side
-bool mayHaveLeft(const transfer &Transfer, CURLcode Code) {
+/// @returns whether any byte of the request's body, or the request line of a
+/// request without body, may have reached the server
+bool mayHaveBeenSent(const transfer &Transfer, CURLcode Code) {
   if (!Transfer.Call.Body.empty()) {
     return Transfer.SentBytes != 0;
   }
@@ -163,10 +163,10 @@
   std::mutex Mutex;
   std::vector<std::unique_ptr<transfer>> Incoming; ///< guarded by Mutex
   std::atomic<bool> Stopping{false};
-  std::optional<boot_time> TimerDue; ///< when libcurl wants to be called
+  std::optional<boot_time> TimerDue; ///< of libcurl; none: no timer is set
   std::vector<CURL *> Idle;
   std::unordered_map<CURL *, std::unique_ptr<transfer>> Active;
-  std::set<CURL *> Checked; ///< calls in Active that have KeepGoing
+  std::set<CURL *> Checked; ///< transfers in Active with a KeepGoing callback
   boot_time CheckedAt;
   posix_thread Thread;
 
@@ -286,7 +286,7 @@
     Result.Status = static_cast<int>(Status);
   } else {
     Result.Error = curl_easy_strerror(Code);
-    Result.WasSent = mayHaveLeft(*Transfer, Code);
+    Result.WasSent = mayHaveBeenSent(*Transfer, Code);
     long SystemError = 0;
     curl_easy_getinfo(Easy, CURLINFO_OS_ERRNO, &SystemError);
     Result.IsRefused =
@@ -296,8 +296,8 @@
   if (Code == CURLE_OK) {
     Idle.push_back(Easy);
   } else {
-    // A handle keeps the refusal to send its body again past a reset, and would
-    // fail the next call with it.
+    // curl_easy_reset() keeps a pending rewind of the body, which would fail
+    // the next request of this handle.
     curl_easy_cleanup(Easy);
   }
   Transfer->Done(std::move(Result));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -20,19 +20,20 @@
 constexpr int StatusTooLarge = 413;
 constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
 
-/// One request from its first byte to the end of its answer.
+/// A request, from its first byte until its response is sent or its connection
+/// closes.
 struct exchange {
   MHD_Connection *Connection = nullptr;
   request_handle Handle{};
   http_request Request;
   boot_time StartedAt;
   std::optional<http_response> Response;
-  int EarlyStatus = 0; ///< set when the body is refused while it is read
+  int EarlyStatus = 0; ///< status that rejects an unread body; 0: none
   bool Delivered = false;
   bool IsStream = false;
   bool StreamEnded = false;
-  bool IsWaiting = false; ///< suspended until the stream has more
-  std::string Pending;    ///< part of the stream that was not sent yet
+  bool IsWaiting = false; ///< connection suspended until Pending grows
+  std::string Pending;    ///< bytes of the stream not yet sent
   std::mutex *Mutex = nullptr;
 };
 
@@ -74,7 +75,7 @@
          std::to_string(ntohs(Address->sin_port));
 }
 
-/// Gives the library the next part of a stream.
+/// Content reader callback of libmicrohttpd: copies the next bytes of a stream.
 ssize_t readStream(void *Cls, std::uint64_t /*Position*/, char *Buffer,
                    std::size_t Size) {
   auto &Exchange = *static_cast<exchange *>(Cls);
@@ -105,16 +106,16 @@
   return Queued;
 }
 
-/// Lets a connection that waits for more of its stream go on.
-void wakeStream(exchange &Exchange) {
+/// Resumes a connection that is suspended until its stream has more bytes.
+void resumeStream(exchange &Exchange) {
   if (Exchange.IsWaiting) {
     Exchange.IsWaiting = false;
     MHD_resume_connection(Exchange.Connection);
   }
 }
 
-/// @returns the answer to a request that the server's end cuts off
-http_response endingResponse() { return {503, "", {}, "application/json"}; }
+/// @returns the response to a request that is open when the server stops
+http_response stoppingResponse() { return {503, "", {}, "application/json"}; }
 
 http_response earlyRefusal(int Status) {
   const std::string Reason =
@@ -138,8 +139,9 @@
   MHD_Daemon *Daemon = nullptr;
   std::atomic<std::uint64_t> NextHandle{1};
   mutable std::mutex Mutex;
-  std::unordered_map<std::uint64_t, exchange *> Held; ///< guarded by Mutex
-  bool Ending = false; ///< guarded by Mutex; nothing more is held
+  std::unordered_map<std::uint64_t, exchange *>
+      OpenExchanges;       ///< guarded by Mutex
+  bool IsStopping = false; ///< guarded by Mutex; no new request is accepted
   std::atomic<std::size_t> Open{0};
 
   exchange *open(MHD_Connection *Connection, const char *Path,
@@ -198,14 +200,15 @@
   const request_handle Handle = Exchange.Handle;
   http_request Request = std::move(Exchange.Request);
   {
-    // Suspended before the handle is known, so that no answer comes too early.
+    // Suspended before the handler has the handle, so that no response precedes
+    // the suspension.
     const std::lock_guard Lock(Mutex);
     Exchange.Delivered = true;
-    if (Ending) {
-      return queueResponse(Exchange.Connection, endingResponse());
+    if (IsStopping) {
+      return queueResponse(Exchange.Connection, stoppingResponse());
     }
     MHD_suspend_connection(Exchange.Connection);
-    Held.emplace(static_cast<std::uint64_t>(Handle), &Exchange);
+    OpenExchanges.emplace(static_cast<std::uint64_t>(Handle), &Exchange);
   }
   Handler(Handle, std::move(Request));
   return MHD_YES;
@@ -250,7 +253,7 @@
   }
   {
     const std::lock_guard Lock(Self.Mutex);
-    Self.Held.erase(static_cast<std::uint64_t>(Exchange->Handle));
+    Self.OpenExchanges.erase(static_cast<std::uint64_t>(Exchange->Handle));
   }
   delete Exchange;
   *Context = nullptr;
@@ -305,16 +308,17 @@
     return;
   }
   {
-    // A suspended connection may not be closed, so all are answered first.
+    // libmicrohttpd must not close a suspended connection: respond to all
+    // first.
     const std::lock_guard Lock(Impl->Mutex);
-    Impl->Ending = true;
-    for (auto &[Handle, Exchange] : Impl->Held) {
+    Impl->IsStopping = true;
+    for (auto &[Handle, Exchange] : Impl->OpenExchanges) {
       if (!Exchange->Response) {
-        Exchange->Response = endingResponse();
+        Exchange->Response = stoppingResponse();
         MHD_resume_connection(Exchange->Connection);
       }
       Exchange->StreamEnded = true;
-      wakeStream(*Exchange);
+      resumeStream(*Exchange);
     }
   }
   MHD_stop_daemon(Impl->Daemon);
@@ -322,8 +326,9 @@
 
 void http_server::respond(request_handle Request, http_response Response) {
   const std::lock_guard Lock(Impl->Mutex);
-  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
-  if (Found == Impl->Held.end() || Found->second->Response) {
+  const auto Found =
+      Impl->OpenExchanges.find(static_cast<std::uint64_t>(Request));
+  if (Found == Impl->OpenExchanges.end() || Found->second->Response) {
     return;
   }
   Found->second->Response = std::move(Response);
@@ -332,8 +337,9 @@
 
 void http_server::beginStream(request_handle Request, http_response Head) {
   const std::lock_guard Lock(Impl->Mutex);
-  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
-  if (Found == Impl->Held.end() || Found->second->Response) {
+  const auto Found =
+      Impl->OpenExchanges.find(static_cast<std::uint64_t>(Request));
+  if (Found == Impl->OpenExchanges.end() || Found->second->Response) {
     return;
   }
   exchange &Exchange = *Found->second;
@@ -345,21 +351,23 @@
 
 bool http_server::writeStream(request_handle Request, std::string_view Part) {
   const std::lock_guard Lock(Impl->Mutex);
-  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
-  if (Found == Impl->Held.end()) {
+  const auto Found =
+      Impl->OpenExchanges.find(static_cast<std::uint64_t>(Request));
+  if (Found == Impl->OpenExchanges.end()) {
     return false;
   }
   Found->second->Pending += Part;
-  wakeStream(*Found->second);
+  resumeStream(*Found->second);
   return true;
 }
 
 void http_server::endStream(request_handle Request) {
   const std::lock_guard Lock(Impl->Mutex);
-  const auto Found = Impl->Held.find(static_cast<std::uint64_t>(Request));
-  if (Found != Impl->Held.end()) {
+  const auto Found =
+      Impl->OpenExchanges.find(static_cast<std::uint64_t>(Request));
+  if (Found != Impl->OpenExchanges.end()) {
     Found->second->StreamEnded = true;
-    wakeStream(*Found->second);
+    resumeStream(*Found->second);
   }
 }
 
