--- /dev/null
+++ b/review/standins/boost_json.cpp
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
