--- a/review/standins/net.h
+++ b/review/standins/net.h
@@ -134,7 +134,7 @@
   }
   /// Ends this side; OnClose isn't called.
   void end() {
-    if (!IsClosed) {
+    if (!IsClosed && Fd >= 0) {
       IsClosed = true;
       close(Fd);
     }
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -122,6 +122,9 @@
   }
 
   void handle(const connection_ptr &Caller, const http_message &Request) {
+    if (IsDown) {
+      return Caller->end();
+    }
     const auto Expected = Request.Headers.find("expected-instance");
     if (Expected != Request.Headers.end() && Expected->second != Init.Id) {
       return Caller->respond(421, "{}");
