--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -98,6 +98,7 @@
   MessagesResent,
   OrphansDropped,  ///< queued tasks whose coordinator timed out
   TargetsSetAside, ///< quarantined for failing tasks of several jobs
+  MessagesDropped, ///< too many to their receiver were unacknowledged
   Count
 };
 std::string_view nameOf(counter Counter);
--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -46,7 +46,7 @@
     removeFromUnackedOffers(*Cancelled);
   }
   Unacked.emplace(++LastNumber,
-                  unacked_message{std::move(Message), Now,
+                  unacked_message{std::move(Message), Now, Now,
                                   config::MinRetransmitTimeout, false});
   return true;
 }
@@ -127,6 +127,11 @@
   return true;
 }
 
+std::optional<boot_time> peer_link::oldestUnackedAt() const {
+  return Unacked.empty() ? std::nullopt
+                         : std::optional(Unacked.begin()->second.QueuedAt);
+}
+
 bool peer_link::isDue(boot_time Now) const {
   const std::optional<boot_time> Due = nextDueAt();
   return IsAckPending || (Due && *Due <= Now);
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -39,6 +39,11 @@
   /// Applies the acknowledgements of a datagram.
   void acknowledge(const datagram &Datagram);
 
+  /// @returns whether the peer has replaced a link that this one was used with
+  bool isRestartedBy(const datagram &Datagram) const {
+    return PeerEpoch != 0 && Datagram.Epoch > PeerEpoch;
+  }
+
   /// Resets the receiving side when the peer has entered a new epoch.
   /// @returns whether the messages of a datagram are of the peer's current
   /// epoch
@@ -53,12 +58,16 @@
   /// @returns when the next message is due, if any is unacknowledged
   std::optional<boot_time> nextDueAt() const;
   std::size_t unackedCount() const { return Unacked.size(); }
+  /// @returns when the oldest unacknowledged message was queued, if there is
+  /// one
+  std::optional<boot_time> oldestUnackedAt() const;
 
 private:
   void removeFromUnackedOffers(const tasks_cancelled &Cancelled);
 
   struct unacked_message {
     peer_message Message;
+    boot_time QueuedAt;
     boot_time DueAt;
     milliseconds RetransmitTimeout{};
     bool WasSent = false;
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -109,6 +109,14 @@
   }
 }
 
+/// Logs that a peer has begun a new link: it has evicted this host and
+/// forgotten which messages it received.
+void logLinkRestart(const reducer_context &Ctx, const peer_host &Peer) {
+  Ctx.log("link_restarted",
+          {{"host", Peer.Member.Host.Name},
+           {"unacked", std::to_string(Peer.Link.unackedCount())}});
+}
+
 void recordStateSent(pool_state &State, boot_time Now) {
   State.SentStates.emplace_back(State.StateNumber, Now);
   while (State.SentStates.front().second + config::MaxDatagramAge < Now) {
@@ -283,6 +291,9 @@
     return; // meant for an earlier process of this host
   }
   Peer->Link.acknowledge(Datagram);
+  if (Peer->Link.isRestartedBy(Datagram)) {
+    logLinkRestart(Ctx, *Peer);
+  }
   if (!Peer->Link.synchronizeEpoch(Datagram)) {
     return; // delayed, from before the sender restarted its link
   }
@@ -322,8 +333,25 @@
   const auto Found = State.Peers.find(To.Name);
   if (Found != State.Peers.end() &&
       Found->second.Member.Host.Incarnation == To.Incarnation) {
-    Found->second.Link.push(std::move(Message), Ctx.Now);
+    const bool IsQueued = Found->second.Link.push(std::move(Message), Ctx.Now);
+    Ctx.count(counter::MessagesDropped, IsQueued ? 0 : 1);
+  }
+}
+
+std::size_t unackedCount(const pool_state &State) {
+  std::size_t Count = 0;
+  for (const auto &[Name, Peer] : State.Peers) {
+    Count += Peer.Link.unackedCount();
   }
+  return Count;
+}
+
+milliseconds oldestUnackedAge(const pool_state &State, boot_time Now) {
+  boot_time Oldest = Now;
+  for (const auto &[Name, Peer] : State.Peers) {
+    Oldest = std::min(Oldest, Peer.Link.oldestUnackedAt().value_or(Now));
+  }
+  return until(Now, Oldest);
 }
 
 void chooseNeighbours(reducer_context &Ctx) {
@@ -341,6 +369,15 @@
   }
 }
 
+namespace {
+void logEviction(const reducer_context &Ctx, const peer_host &Peer) {
+  Ctx.log("peer_evicted",
+          {{"host", Peer.Member.Host.Name},
+           {"incarnation", std::to_string(Peer.Member.Host.Incarnation)},
+           {"unacked", std::to_string(Peer.Link.unackedCount())}});
+}
+} // namespace
+
 void flushDatagrams(reducer_context &Ctx) {
   pool_state &State = Ctx.State;
   const due_states Due = dueStates(State, Ctx.Now);
@@ -363,6 +400,7 @@
         std::max(Peer.LastReceivedAt, Peer.KnownSince);
     if (!Peer.IsRegistered && LastContactAt + PeerRetention < Ctx.Now) {
       keepCrashes(State, Peer, Ctx.Now);
+      logEviction(Ctx, Peer);
       Entry = State.Peers.erase(Entry);
       continue;
     }
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -230,6 +230,7 @@
     SchedulableCount += OwnedTarget.isSchedulable() ? 1 : 0;
   }
   const host_state HostState = makeHostState(State, Ctx.Now);
+  const milliseconds OldestUnacked = oldestUnackedAge(State, Ctx.Now);
   Ctx.log("load",
           {{"jobs", std::to_string(Metrics.JobsOpen)},
            {"queued", std::to_string(Metrics.TasksQueued)},
@@ -240,6 +241,8 @@
            {"usable", std::to_string(SchedulableCount)},
            {"listed", std::to_string(Metrics.TargetsListed)},
            {"heard", std::to_string(Metrics.PeersReachable)},
+           {"unacked", std::to_string(unackedCount(State))},
+           {"unacked_ms", std::to_string(OldestUnacked.count())},
            {"version", std::to_string(Metrics.ConfigurationVersion)}});
 }
 } // namespace
@@ -345,7 +348,8 @@
                "datagrams_sent",
                "messages_resent",
                "orphans_dropped",
-               "targets_set_aside"};
+               "targets_set_aside",
+               "messages_dropped"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -266,6 +266,10 @@
 /// Sends a message to a host, which may be this one.
 void sendMessage(reducer_context &Ctx, const host_ref &To,
                  peer_message Message);
+/// @returns how many messages to peers they have not acknowledged
+std::size_t unackedCount(const pool_state &State);
+/// @returns how long ago the oldest of them was queued, zero if there is none
+milliseconds oldestUnackedAge(const pool_state &State, boot_time Now);
 /// Sends the datagrams that are due.
 void flushDatagrams(reducer_context &Ctx);
 boot_time nextDatagramAt(const pool_state &State, boot_time Now);
