Deliver no message again after its receiver evicted the sender

What callers saw: TWICE.

Cause: eviction on one side. A host that is cut off from all others for over 5 s is evicted by them. Cut off from the store too, it keeps them as registered, and after the cut goes on with its old link and message numbers. The peers' new links take these as out of order for ever and acknowledge only the 200 lowest, so later messages stay unacknowledged though they were delivered, and are retransmitted. When the host is cut off a second time, the peers forget what they received, and all these offers are new to them: they start tasks of jobs that ended long ago.

Change: messages and acknowledgements count only within a session, named by the epochs of both sides. A side that sees a new epoch of its peer drops what isn't acknowledged and numbers its messages anew. What the dropped messages told is settled: jobs with tasks at that peer are given up (it has stopped their tasks), and attempts of its jobs that this host owns are announced to it.

Why it works: a message is accepted only from a sender that knows the receiver's present link, so nothing that an earlier link may have accepted is accepted again.

The two tests of peer_link exchange a datagram first, since a link sends no message before it knows its peer's epoch; they check what they did before, and the acknowledgement of a session that ended more strictly.

--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -71,6 +71,9 @@
     Datagram.SelectiveAcks.push_back(Number);
   }
   IsAckPending = false;
+  if (PeerEpoch == 0) {
+    return 0;
+  }
   std::size_t Bytes = 0;
   std::size_t Retransmitted = 0;
   for (auto &[Number, Pending] : Unacked) {
@@ -95,19 +98,22 @@
   return Retransmitted;
 }
 
-bool peer_link::synchronizeEpoch(const datagram &Datagram) {
-  if (Datagram.Epoch > PeerEpoch) {
-    PeerEpoch = Datagram.Epoch;
-    ReceivedUpTo = 0;
-    ReceivedOutOfOrder.clear();
+bool peer_link::beginSession(const datagram &Datagram) {
+  if (Datagram.Epoch <= PeerEpoch) {
+    return false;
+  }
+  const bool HadSession = PeerEpoch != 0;
+  PeerEpoch = Datagram.Epoch;
+  ReceivedUpTo = 0;
+  ReceivedOutOfOrder.clear();
+  if (HadSession) {
+    Unacked.clear();
+    LastNumber = 0;
   }
-  return Datagram.Epoch == PeerEpoch;
+  return true;
 }
 
 void peer_link::acknowledge(const datagram &Datagram) {
-  if (Datagram.AckedEpoch != Epoch) {
-    return;
-  }
   Unacked.erase(Unacked.begin(), Unacked.upper_bound(Datagram.AckedUpTo));
   for (const std::uint64_t Number : Datagram.SelectiveAcks) {
     Unacked.erase(Number);
@@ -138,6 +144,9 @@
 }
 
 std::optional<boot_time> peer_link::nextDueAt() const {
+  if (PeerEpoch == 0) {
+    return std::nullopt;
+  }
   std::optional<boot_time> Earliest;
   for (const auto &[Number, Pending] : Unacked) {
     if (!Earliest || Pending.DueAt < *Earliest) {
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -11,10 +11,12 @@
 /// One side of a reliable link to a peer: sends, retransmits and acknowledges
 /// messages in both directions.
 ///
-/// @remarks A message is delivered exactly once, unless one side has evicted
-/// the other from its peers. Messages may arrive in any order. Each side
-/// numbers its messages within an epoch of its own, so that the messages of a
-/// side that restarts its numbers aren't taken for repetitions of earlier ones.
+/// @remarks A side that has evicted the other from its peers returns with a new
+/// link, whose epoch is higher, and has forgotten which messages it received.
+/// The epochs of both sides name a session. Messages and acknowledgements count
+/// only within one; when it ends, its unacknowledged messages are dropped, as
+/// they may have been delivered. So a message is delivered once, or at most
+/// once if the session ends. Messages may arrive in any order.
 class peer_link {
 public:
   peer_link() = default;
@@ -33,29 +35,30 @@
   /// @param[in] RepeatsCancellations whether all unacknowledged cancellations
   /// are due, so that whoever receives the datagram has them
   /// @returns number of retransmitted messages
+  /// @remarks No message is due before the peer's epoch is known.
   std::size_t fill(datagram &Datagram, boot_time Now,
                    bool RepeatsCancellations = false);
 
-  /// Applies the acknowledgements of a datagram.
-  void acknowledge(const datagram &Datagram);
+  /// Begins a new session if a datagram shows a later epoch of the peer.
+  /// @returns whether it did
+  bool beginSession(const datagram &Datagram);
 
-  /// @returns whether the peer has replaced a link that this one was used with
-  bool isRestartedBy(const datagram &Datagram) const {
-    return PeerEpoch != 0 && Datagram.Epoch > PeerEpoch;
+  /// @returns whether the messages and acknowledgements of a datagram belong to
+  /// the current session
+  bool isInSession(const datagram &Datagram) const {
+    return Datagram.Epoch == PeerEpoch && Datagram.AckedEpoch == Epoch;
   }
 
-  /// Resets the receiving side when the peer has entered a new epoch.
-  /// @returns whether the messages of a datagram are of the peer's current
-  /// epoch
-  bool synchronizeEpoch(const datagram &Datagram);
+  /// Applies the acknowledgements of a datagram of this session.
+  void acknowledge(const datagram &Datagram);
 
-  /// Records a received message.
+  /// Records a received message of this session.
   /// @returns whether it is new; a repeated one is only acknowledged
   bool accept(std::uint64_t Number);
 
   /// @returns whether a message or an acknowledgement has to be sent now
   bool isDue(boot_time Now) const;
-  /// @returns when the next message is due, if any is unacknowledged
+  /// @returns when the next message is due, if any can be sent
   std::optional<boot_time> nextDueAt() const;
   std::size_t unackedCount() const { return Unacked.size(); }
   /// @returns when the oldest unacknowledged message was queued, if there is
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -109,14 +109,6 @@
   }
 }
 
-/// Logs that a peer has begun a new link: it has evicted this host and
-/// forgotten which messages it received.
-void logLinkRestart(const reducer_context &Ctx, const peer_host &Peer) {
-  Ctx.log("link_restarted",
-          {{"host", Peer.Member.Host.Name},
-           {"unacked", std::to_string(Peer.Link.unackedCount())}});
-}
-
 void recordStateSent(pool_state &State, boot_time Now) {
   State.SentStates.emplace_back(State.StateNumber, Now);
   while (State.SentStates.front().second + config::MaxDatagramAge < Now) {
@@ -266,6 +258,24 @@
 }
 } // namespace
 
+namespace {
+/// Begins a new session if a datagram shows that the peer has a new link. The
+/// peer then remembers nothing of this host: its tasks for this host were
+/// stopped, and messages to it may be lost.
+void beginSession(reducer_context &Ctx, peer_host &Peer,
+                  const datagram &Datagram) {
+  const std::size_t Unacked = Peer.Link.unackedCount();
+  if (!Peer.Link.beginSession(Datagram)) {
+    return;
+  }
+  Ctx.log("session_begun", {{"host", Peer.Member.Host.Name},
+                            {"unacked", std::to_string(Unacked)}});
+  Peer.NeedsState = true; // it tells the peer of this session
+  abandonJobsAt(Ctx, Peer.Member.Host);
+  announceAttempts(Ctx, Peer.Member.Host);
+}
+} // namespace
+
 void handleDatagram(reducer_context &Ctx, datagram_received &&Received) {
   peer_host *Peer = findSender(Ctx, Received);
   if (Peer == nullptr) {
@@ -290,13 +300,11 @@
   if (Datagram.ReceiverIncarnation != Ctx.State.Init.Incarnation) {
     return; // meant for an earlier process of this host
   }
-  Peer->Link.acknowledge(Datagram);
-  if (Peer->Link.isRestartedBy(Datagram)) {
-    logLinkRestart(Ctx, *Peer);
-  }
-  if (!Peer->Link.synchronizeEpoch(Datagram)) {
-    return; // delayed, from before the sender restarted its link
+  beginSession(Ctx, *Peer, Datagram);
+  if (!Peer->Link.isInSession(Datagram)) {
+    return; // of an earlier session, or the sender doesn't know this one yet
   }
+  Peer->Link.acknowledge(Datagram);
   const host_ref From = Datagram.From;
   for (auto &[Number, Message] : Datagram.Messages) {
     if (!Peer->Link.accept(Number)) {
--- /dev/null
+++ b/tests/unit/pool_isolation_test.cpp
@@ -0,0 +1,84 @@
+/// Hosts that are cut off from all others, and from the store, for so long that
+/// the others evict them.
+#include "pool_simulation.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::pool;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t Hosts = 4;
+constexpr milliseconds CutTime{8'000};
+constexpr milliseconds RegistrationTime{3'000}; ///< without a renewal
+
+/// Lists all running hosts but some, to all but those.
+void listWithout(pool_simulation &World,
+                 const std::set<std::size_t> &Isolated) {
+  for (std::size_t Host = 0; Host < Hosts; ++Host) {
+    if (!Isolated.contains(Host)) {
+      World.post(Host, World.membersWithout(Isolated));
+    }
+  }
+}
+
+/// Cuts hosts off from all others and from the store for CutTime.
+void isolate(pool_simulation &World, const std::set<std::size_t> &Isolated) {
+  for (const std::size_t Host : Isolated) {
+    for (std::size_t Other = 0; Other < Hosts; ++Other) {
+      if (Other != Host) {
+        World.partitionHosts(Host, Other);
+      }
+    }
+  }
+  World.runFor(RegistrationTime);
+  listWithout(World, Isolated);
+  World.runFor(CutTime - RegistrationTime);
+  World.heal();
+  World.deliverSnapshots();
+}
+
+simulation_init worldOf(std::uint64_t Seed) {
+  simulation_init Init;
+  Init.Hosts = Hosts;
+  Init.TargetsPerDomain = 8;
+  Init.Seed = Seed;
+  if (std::getenv("TRACE_ISOLATION") != nullptr) {
+    Init.Trace = [](boot_time At, const std::string &Line) {
+      std::cout << std::chrono::duration<double>(At.time_since_epoch()).count()
+                << " " << Line << "\n";
+    };
+  }
+  return Init;
+}
+
+/// Submits jobs of which many are offered more than once: hosts compete for the
+/// same free capacity.
+void submitContended(pool_simulation &World, milliseconds Time,
+                     const std::string &Prefix) {
+  simulated_job Job;
+  Job.Tasks = 4;
+  Job.RunTime = 30ms;
+  submitFor(World, Hosts, Time, 5ms, Job, Prefix);
+}
+} // namespace
+
+TEST_CASE("no task runs again when a host that was isolated twice returns",
+          "[pool]") {
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 11));
+  CAPTURE(Seed);
+  pool_simulation World(worldOf(Seed));
+  World.settle();
+  submitContended(World, 1s, "before");
+  isolate(World, {0});
+  submitContended(World, 8s, "between");
+  World.runFor(2s);
+  const std::uint64_t StartsBefore = World.startCount();
+  isolate(World, {0});
+  World.runFor(2s);
+  CHECK(World.startCount() == StartsBefore);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -141,11 +141,27 @@
   CHECK(assignTargets(Targets, {}).empty());
 }
 
+namespace {
+/// Sends a datagram without messages.
+void greet(peer_link &From, peer_link &To) {
+  datagram Greeting;
+  From.fill(Greeting, boot_time{1s});
+  To.beginSession(Greeting);
+}
+
+/// Lets both sides of a link know each other's epoch.
+void connect(peer_link &A, peer_link &B) {
+  greet(A, B);
+  greet(B, A);
+}
+} // namespace
+
 TEST_CASE("a message is delivered once despite loss and retransmission",
           "[pool]") {
   const boot_time Start{1s};
   peer_link Sender(5);
   peer_link Receiver(7);
+  connect(Sender, Receiver);
   Sender.push(offer_refused{}, Start);
   Sender.push(offer_refused{}, Start);
   datagram Lost;
@@ -154,12 +170,13 @@
   CHECK_FALSE(Sender.isDue(Start + 1ms));
   datagram Again;
   CHECK(Sender.fill(Again, Start + 25ms) == 2);
-  REQUIRE(Receiver.synchronizeEpoch(Again));
+  REQUIRE(Receiver.isInSession(Again));
   CHECK(Receiver.accept(Again.Messages[1].Number));
   CHECK(Receiver.accept(Again.Messages[0].Number));
   CHECK_FALSE(Receiver.accept(Again.Messages[0].Number));
   datagram Ack;
   Receiver.fill(Ack, Start + 26ms);
+  REQUIRE(Sender.isInSession(Ack));
   Sender.acknowledge(Ack);
   CHECK(Sender.unackedCount() == 0);
 }
@@ -168,24 +185,57 @@
   const boot_time Start{1s};
   peer_link Receiver(1);
   peer_link Old(5);
+  connect(Old, Receiver);
   Old.push(offer_refused{}, Start);
   datagram First;
   Old.fill(First, Start);
-  REQUIRE(Receiver.synchronizeEpoch(First));
+  REQUIRE(Receiver.isInSession(First));
   CHECK(Receiver.accept(1));
   peer_link New(6);
+  connect(New, Receiver);
   New.push(offer_refused{}, Start);
   datagram Second;
   New.fill(Second, Start);
-  REQUIRE(Receiver.synchronizeEpoch(Second));
+  REQUIRE(Receiver.isInSession(Second));
   CHECK(Receiver.accept(1));
-  CHECK_FALSE(Receiver.synchronizeEpoch(First));
+  CHECK_FALSE(Receiver.beginSession(First));
+  CHECK_FALSE(Receiver.isInSession(First));
   datagram Ack;
   Receiver.fill(Ack, Start);
-  Old.acknowledge(Ack);
+  CHECK_FALSE(Old.isInSession(Ack));
   CHECK(Old.unackedCount() == 1);
 }
 
+TEST_CASE("a link restarted by its receiver delivers nothing twice", "[pool]") {
+  const boot_time Start{1s};
+  peer_link Sender(5);
+  peer_link Evicting(7);
+  connect(Sender, Evicting);
+  Sender.push(offer_refused{}, Start);
+  datagram Delivered;
+  Sender.fill(Delivered, Start);
+  CHECK(Evicting.accept(Delivered.Messages.at(0).Number));
+  peer_link Restarted(8); // its acknowledgement was lost, and it is forgotten
+  datagram Again;
+  Sender.fill(Again, Start + 25ms);
+  CHECK(Again.Messages.size() == 1);
+  Restarted.beginSession(Again);
+  CHECK_FALSE(Restarted.isInSession(Again));
+  greet(Restarted, Sender);
+  CHECK(Sender.unackedCount() == 0);
+  Sender.push(offer_refused{}, Start + 30ms);
+  datagram New;
+  Sender.fill(New, Start + 30ms);
+  REQUIRE(Restarted.isInSession(New));
+  CHECK(New.Messages.at(0).Number == 1);
+  CHECK(Restarted.accept(1));
+  datagram Ack;
+  Restarted.fill(Ack, Start + 31ms);
+  REQUIRE(Sender.isInSession(Ack));
+  Sender.acknowledge(Ack);
+  CHECK(Sender.unackedCount() == 0);
+}
+
 TEST_CASE("datagrams are encoded and decoded, malformed ones rejected",
           "[pool]") {
   datagram Sent;
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -197,20 +197,27 @@
   }
 }
 
+members_listed
+pool_simulation::membersWithout(const std::set<std::size_t> &Omitted) const {
+  members_listed Members{true, {}, {}};
+  for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+    const simulated_host &Simulated = Hosts[Host];
+    if (Simulated.Host != nullptr && !Omitted.contains(Host)) {
+      Members.Upserted.push_back(
+          {{Simulated.Init.Name, Simulated.Init.Incarnation},
+           Simulated.Init.Name,
+           Simulated.Init.FailureDomain});
+    }
+  }
+  return Members;
+}
+
 void pool_simulation::sendSnapshots(std::size_t Host) {
   simulated_host &Simulated = Hosts[Host];
   post(Host, store_reachability{true});
   post(Host, configuration_read{makeConfiguration()});
   postTargets(Host, listTargets());
-  members_listed Members{true, {}, {}};
-  for (const simulated_host &Other : Hosts) {
-    if (Other.Host != nullptr) {
-      Members.Upserted.push_back({{Other.Init.Name, Other.Init.Incarnation},
-                                  Other.Init.Name,
-                                  Other.Init.FailureDomain});
-    }
-  }
-  post(Host, std::move(Members));
+  post(Host, membersWithout({}));
   if (Simulated.Host != nullptr) {
     post(Host, member_registered{++LastOwnerNumber});
   }
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -126,6 +126,9 @@
   /// Sends new snapshots of hosts and targets; dead hosts aren't listed.
   void deliverSnapshots();
   void deliverSnapshot(std::size_t Host);
+  /// @returns a snapshot of the running hosts but some, whose registrations
+  /// have expired
+  members_listed membersWithout(const std::set<std::size_t> &Omitted) const;
   /// Sends a host a snapshot of the targets as they were at an earlier call of
   /// recordTargets().
   void deliverStaleTargets(std::size_t Host);
