Take cancellations on a full link, and withdraw the offers that they cancel

What callers would see: TWICE, if a link is full.

Evidence: the new test failed before: push returned false, and the offer went out with its task.

Change: a cancellation withdraws offers first and is always queued. There are no more cancelled attempts than offered ones, which the limit bounds.

--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -39,11 +39,10 @@
 } // namespace
 
 bool peer_link::push(peer_message Message, boot_time Now) {
-  if (Unacked.size() >= config::MaxUnackedMessages) {
-    return false;
-  }
   if (const auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
     removeFromUnackedOffers(*Cancelled);
+  } else if (Unacked.size() >= config::MaxUnackedMessages) {
+    return false;
   }
   Unacked.emplace(++LastNumber,
                   unacked_message{std::move(Message), Now, Now,
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -26,7 +26,8 @@
   /// Queues a message and keeps it until the peer has acknowledged it. A
   /// message that cancels tasks also removes them from unacknowledged offers:
   /// when retransmitted, these would be started though nobody waits for them.
-  /// @returns false if too many are unacknowledged: the peer receives nothing
+  /// @returns false if too many are unacknowledged: the peer receives nothing.
+  /// A cancellation is queued all the same.
   bool push(peer_message Message, boot_time Now);
 
   /// Adds all acknowledgements and the messages that are due: new ones and
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -236,6 +236,24 @@
   CHECK(Sender.unackedCount() == 0);
 }
 
+TEST_CASE("a cancellation takes effect on a full link", "[pool]") {
+  const boot_time Start{1s};
+  peer_link Sender(5);
+  peer_link Receiver(7);
+  connect(Sender, Receiver);
+  task_offer Offer;
+  Offer.Job = "job";
+  Offer.Tasks.emplace_back();
+  REQUIRE(Sender.push(Offer, Start));
+  while (Sender.push(offer_refused{}, Start)) {
+  }
+  CHECK(Sender.push(tasks_cancelled{{{"job"}}}, Start));
+  datagram Datagram;
+  Sender.fill(Datagram, Start);
+  const auto &First = Datagram.Messages.at(0).Message;
+  CHECK(std::get<task_offer>(First).Tasks.empty());
+}
+
 TEST_CASE("datagrams are encoded and decoded, malformed ones rejected",
           "[pool]") {
   datagram Sent;
