Split peers.cpp: who the peers are, and datagrams between hosts

Membership, eviction and who is alive stay; states, sessions and messages are in datagrams.cpp; peers_p.h has the three functions that both use. Eviction is a function of its own, called before the datagrams are sent; no other statement changed.

--- /dev/null
+++ b/src/core/pool/peers_p.h
@@ -0,0 +1,17 @@
+/// The peers of a host, as far as their datagrams concern them.
+#pragma once
+
+#include "core/pool/state_p.h"
+
+namespace tarragonbridge::pool {
+
+/// Begins anew with a host that is new, or that runs as another process.
+peer_host &resetPeer(reducer_context &Ctx, const member_record &Member);
+
+/// Evicts the peers that are neither registered nor heard.
+void evictSilentPeers(reducer_context &Ctx);
+
+/// @returns whether there are so few hosts that each is a neighbour of all
+bool areAllNeighbours(const pool_state &State);
+
+} // namespace tarragonbridge::pool
