Keep a host that just restarted though an outdated list names its former process

What callers would see: 504 for jobs that were offered right after a host restarted.

Cause: a list of hosts with an older incarnation was believed unless a datagram of the newer process had been accepted within 0.9 s. A process is known before that, from its first datagram.

Change: a process that came to be known within 0.9 s isn't replaced by an older one.

--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -13,6 +13,11 @@
 /// long, is evicted.
 constexpr milliseconds PeerRetention{5'000};
 
+/// @returns when the peer was heard or came to be known
+boot_time lastContactAt(const peer_host &Peer) {
+  return std::max(Peer.LastReceivedAt, Peer.KnownSince);
+}
+
 /// Keeps what a process of a peer told of crashes before it ended.
 void keepCrashes(pool_state &State, const peer_host &Peer, boot_time Now) {
   departed_crashes &Departed = State.DepartedCrashes;
@@ -49,7 +54,7 @@
   const auto Found = Ctx.State.Peers.find(Member.Host.Name);
   if (Found != Ctx.State.Peers.end() &&
       Member.Host.Incarnation < Found->second.Member.Host.Incarnation &&
-      peerReceivedWithin(Found->second, Ctx.Now, config::HostTimeout)) {
+      lastContactAt(Found->second) + config::HostTimeout >= Ctx.Now) {
     return; // the list is stale: a later process of the host is alive
   }
   const bool IsSame =
@@ -125,10 +130,8 @@
 void evictSilentPeers(reducer_context &Ctx) {
   std::erase_if(Ctx.State.Peers, [&](const auto &Entry) {
     const peer_host &Peer = Entry.second;
-    const boot_time LastContactAt =
-        std::max(Peer.LastReceivedAt, Peer.KnownSince);
     const bool IsEvicted =
-        !Peer.IsRegistered && LastContactAt + PeerRetention < Ctx.Now;
+        !Peer.IsRegistered && lastContactAt(Peer) + PeerRetention < Ctx.Now;
     if (IsEvicted) {
       keepCrashes(Ctx.State, Peer, Ctx.Now);
       logEviction(Ctx, Peer);
--- a/tests/unit/pool_isolation_test.cpp
+++ b/tests/unit/pool_isolation_test.cpp
@@ -82,3 +82,39 @@
   CHECK(World.startCount() == StartsBefore);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
+
+// Guards against a peer that is begun anew as an earlier process of itself, so
+// that its new session, with the offers in it, is lost.
+TEST_CASE("an outdated list of hosts doesn't reset a host that just restarted",
+          "[pool]") {
+  const microseconds StaleAfter =
+      GENERATE(400us, 800us, 1200us, 1600us, 2000us, 2400us, 2800us, 3200us,
+               4000us, 5000us, 10000us);
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 11));
+  CAPTURE(StaleAfter.count(), Seed);
+  pool_simulation World(worldOf(Seed));
+  World.settle();
+  const members_listed Stale = World.membersWithout({});
+  World.runFor(1s);
+  World.kill(0);
+  World.runFor(1500ms);
+  World.restart(0);
+  simulated_job Job;
+  Job.Tasks = 2;
+  Job.RunTime = 30ms;
+  constexpr microseconds Interval{200};
+  constexpr microseconds SubmissionTime{12'000};
+  for (microseconds Elapsed{0}; Elapsed < SubmissionTime; Elapsed += Interval) {
+    if (Elapsed == StaleAfter) {
+      for (std::size_t Host = 1; Host < Hosts; ++Host) {
+        World.post(Host, members_listed(Stale));
+      }
+    }
+    Job.Id = "j" + std::to_string(Elapsed.count());
+    World.submit(0, Job);
+    World.runFor(Interval);
+  }
+  World.runFor(3s);
+  CHECK(World.count(response_kind::JobAbandoned) == 0);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
