Keep the record of an ended job for 15 s after its latest end

What callers would see: TWICE, two runs of one task.

Cause: the record tells a later submission at the same host which attempt numbers are used. Each end of a job listed the record for eviction, but the entry of the first end also evicted the record of the second one. Then numbers began at 1 again, and an outcome of an earlier attempt, which its owner had still to tell after a cut, was taken for that of the present one: the task was placed again beside its run. The class is that of, one side forgets what the other still tells.

Change: the record carries the time of its latest end; an older entry leaves it.

--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -22,15 +22,26 @@
   return Highest;
 }
 
+/// Evicts the records of jobs whose latest end is older than EndedRetention.
+void evictEndedJobs(coordinator_state &Coordinator, boot_time Now) {
+  auto &Order = Coordinator.EndedJobOrder;
+  while (!Order.empty() && Order.front().first + EndedRetention < Now) {
+    const auto &[EndedAt, Id] = Order.front();
+    const auto Record = Coordinator.EndedJobs.find(Id);
+    if (Record != Coordinator.EndedJobs.end() &&
+        Record->second.EndedAt <= EndedAt) {
+      Coordinator.EndedJobs.erase(Record);
+    }
+    Order.pop_front();
+  }
+}
+
 void recordEndedJob(reducer_context &Ctx, const open_job &Job, bool IsDone) {
   coordinator_state &Coordinator = Ctx.State.Coordinator;
   Coordinator.EndedJobs[Job.Id] = {IsDone, lastAttemptNumber(Job),
-                                   crashesOf(Job)};
+                                   crashesOf(Job), Ctx.Now};
   Coordinator.EndedJobOrder.emplace_back(Ctx.Now, Job.Id);
-  while (Coordinator.EndedJobOrder.front().first + EndedRetention < Ctx.Now) {
-    Coordinator.EndedJobs.erase(Coordinator.EndedJobOrder.front().second);
-    Coordinator.EndedJobOrder.pop_front();
-  }
+  evictEndedJobs(Coordinator, Ctx.Now);
 }
 
 bool mayHaveRun(const open_job &Job) {
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -158,6 +158,7 @@
     bool IsDone = false;
     std::uint32_t LastAttemptNumber = 0;
     crash_summary Crashes;
+    boot_time EndedAt;
   };
   std::map<std::string, ended_job, std::less<>> EndedJobs;
   std::deque<std::pair<boot_time, std::string>> EndedJobOrder; ///< oldest first
--- a/tests/unit/pool_isolation_test.cpp
+++ b/tests/unit/pool_isolation_test.cpp
@@ -83,6 +83,54 @@
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
 
+namespace {
+/// Cuts the paths between the first host and all others; all stay registered.
+void cutFirstHost(pool_simulation &World) {
+  for (std::size_t Other = 1; Other < Hosts; ++Other) {
+    World.partitionHosts(0, Other);
+  }
+}
+
+/// Ends some other job, with which old records of ended jobs are evicted.
+void endOtherJob(pool_simulation &World) {
+  simulated_job Other{"other", 1};
+  Other.RunTime = 10ms;
+  World.submit(0, Other);
+  World.runFor(300ms);
+}
+
+simulated_job longJob() {
+  simulated_job Job{"j", 8};
+  Job.RunTime = 3s;
+  return Job;
+}
+} // namespace
+
+// Guards against a number of an earlier attempt that is used again while an
+// owner still has to tell how that attempt ended.
+TEST_CASE("the outcome of an earlier submission doesn't end an attempt of a "
+          "later one: record of its second end",
+          "[pool]") {
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 21));
+  CAPTURE(Seed);
+  pool_simulation World(worldOf(Seed));
+  World.settle();
+  const request_handle First = World.submit(0, longJob());
+  World.runFor(300ms);
+  World.disconnect(0, First);
+  World.runFor(13'200ms);
+  World.submit(0, longJob());
+  World.runFor(300ms);
+  cutFirstHost(World);
+  World.runFor(2s); // given up after 0.9 s
+  endOtherJob(World);
+  World.submit(0, longJob());
+  World.runFor(200ms);
+  World.heal();
+  World.runFor(6s);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
+
 // Guards against a peer that is begun anew as an earlier process of itself, so
 // that its new session, with the offers in it, is lost.
 TEST_CASE("an outdated list of hosts doesn't reset a host that just restarted",
