End the session with a peer that was silent for 5 s, registered or not

What callers would see: TWICE, two runs of one task.

Cause: hosts that lost only each other stay registered, so neither evicts the other, and an owner kept an unacknowledged outcome for as long as the cut lasted. After 15 s the coordinator has forgotten the job's attempt numbers. It used them again for a later submission, and took the old outcome for that of the attempt at work. The class is that of: one side forgets what the other still tells.

Change: what a silent peer hasn't acknowledged within PeerRetention (5 s) is dropped with the session. That is less than EndedRetention (15 s), so no outcome outlives the record that tells its attempt from later ones.

--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -9,8 +9,9 @@
 namespace tarragonbridge::pool {
 
 namespace {
-/// A peer that is not registered, and from which nothing was received for this
-/// long, is evicted.
+/// When nothing was received from a peer for this long, its session ends; it is
+/// evicted if it is not registered. Shorter than records of ended jobs are
+/// kept.
 constexpr milliseconds PeerRetention{5'000};
 
 /// @returns when the peer was heard or came to be known
@@ -18,6 +19,11 @@
   return std::max(Peer.LastReceivedAt, Peer.KnownSince);
 }
 
+/// @returns a link with a later epoch than that of any earlier one
+peer_link makeLink(boot_time Now) {
+  return peer_link(static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+}
+
 /// Keeps what a process of a peer told of crashes before it ended.
 void keepCrashes(pool_state &State, const peer_host &Peer, boot_time Now) {
   departed_crashes &Departed = State.DepartedCrashes;
@@ -37,8 +43,7 @@
   peer_host Peer;
   Peer.Member = Member;
   Peer.KnownSince = Ctx.Now;
-  Peer.Link =
-      peer_link(static_cast<std::uint64_t>(Ctx.Now.time_since_epoch().count()));
+  Peer.Link = makeLink(Ctx.Now);
   Ctx.log("peer_known",
           {{"host", Member.Host.Name},
            {"incarnation", std::to_string(Member.Host.Incarnation)},
@@ -119,25 +124,40 @@
 }
 
 namespace {
-void logEviction(const reducer_context &Ctx, const peer_host &Peer) {
-  Ctx.log("peer_evicted",
-          {{"host", Peer.Member.Host.Name},
-           {"incarnation", std::to_string(Peer.Member.Host.Incarnation)},
-           {"unacked", std::to_string(Peer.Link.unackedCount())}});
+bool isSilent(const peer_host &Peer, boot_time Now) {
+  return lastContactAt(Peer) + PeerRetention < Now;
+}
+
+std::vector<std::pair<std::string, std::string>>
+describeLink(const peer_host &Peer) {
+  return {{"host", Peer.Member.Host.Name},
+          {"incarnation", std::to_string(Peer.Member.Host.Incarnation)},
+          {"unacked", std::to_string(Peer.Link.unackedCount())}};
+}
+
+/// Drops what silent peers haven't acknowledged. Otherwise they would be told
+/// outcomes of attempts whose numbers they have forgotten and use again.
+void endSilentSessions(reducer_context &Ctx) {
+  for (auto &[Name, Peer] : Ctx.State.Peers) {
+    if (isSilent(Peer, Ctx.Now) && Peer.Link.unackedCount() > 0) {
+      Ctx.log("session_ended", describeLink(Peer));
+      Peer.Link = makeLink(Ctx.Now);
+    }
+  }
 }
 } // namespace
 
 void evictSilentPeers(reducer_context &Ctx) {
   std::erase_if(Ctx.State.Peers, [&](const auto &Entry) {
     const peer_host &Peer = Entry.second;
-    const bool IsEvicted =
-        !Peer.IsRegistered && lastContactAt(Peer) + PeerRetention < Ctx.Now;
+    const bool IsEvicted = !Peer.IsRegistered && isSilent(Peer, Ctx.Now);
     if (IsEvicted) {
       keepCrashes(Ctx.State, Peer, Ctx.Now);
-      logEviction(Ctx, Peer);
+      Ctx.log("peer_evicted", describeLink(Peer));
     }
     return IsEvicted;
   });
+  endSilentSessions(Ctx);
 }
 
 bool haveOwnersAdvertised(const pool_state &State, boot_time Now) {
--- a/src/core/pool/peers_p.h
+++ b/src/core/pool/peers_p.h
@@ -8,7 +8,8 @@
 /// Begins anew with a host that is new, or that runs as another process.
 peer_host &resetPeer(reducer_context &Ctx, const member_record &Member);
 
-/// Evicts the peers that are neither registered nor heard.
+/// Ends the sessions with peers that are silent, and evicts those of them that
+/// aren't registered.
 void evictSilentPeers(reducer_context &Ctx);
 
 /// @returns whether there are so few hosts that each is a neighbour of all
--- a/tests/unit/pool_isolation_test.cpp
+++ b/tests/unit/pool_isolation_test.cpp
@@ -131,6 +131,35 @@
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
 
+TEST_CASE("the outcome of an earlier submission doesn't end an attempt of a "
+          "later one: long cut",
+          "[pool]") {
+  struct cut_case {
+    milliseconds CutTime{};
+    bool IsResubmittedInCut = true;
+  };
+  const cut_case Case = GENERATE(
+      values<cut_case>({{8s, true}, {17s, true}, {10s, false}, {17s, false}}));
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 11));
+  CAPTURE(Case.CutTime.count(), Case.IsResubmittedInCut, Seed);
+  pool_simulation World(worldOf(Seed));
+  World.settle();
+  World.submit(0, longJob());
+  World.runFor(300ms);
+  cutFirstHost(World);
+  World.runFor(Case.CutTime - 500ms);
+  endOtherJob(World);
+  if (!Case.IsResubmittedInCut) {
+    World.runFor(200ms);
+    World.heal();
+  }
+  World.submit(0, longJob());
+  World.runFor(200ms);
+  World.heal();
+  World.runFor(6s);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
+
 // Guards against a peer that is begun anew as an earlier process of itself, so
 // that its new session, with the offers in it, is lost.
 TEST_CASE("an outdated list of hosts doesn't reset a host that just restarted",
