Count a crash once though the host that tells of it was evicted meanwhile

What callers would see: a sound job is answered failed, reason targets_crashed.

Cause: what an evicted process told of crashes was kept as of one that ended. When it came back it told the same crashes again, and both were summed: one crash counted as two, at which a job is given up. Isolated hosts do just this.

Change: departed crashes are kept by process, and dropped once it tells its state.

--- a/src/core/pool/crashes.cpp
+++ b/src/core/pool/crashes.cpp
@@ -41,7 +41,9 @@
   for (const auto &[Name, Peer] : State.Peers) {
     addCrashesOf(Known, Job, Peer.State.Crashes);
   }
-  addCrashesOf(Known, Job, State.DepartedCrashes.Crashes);
+  for (const auto &[Host, Departed] : State.DepartedCrashes) {
+    addCrashesOf(Known, Job, Departed.Crashes);
+  }
   return Known;
 }
 
@@ -89,10 +91,9 @@
 
 void evictOldCrashes(pool_state &State, boot_time Now) {
   State.Owner.Crashes.evictOld(Now);
-  departed_crashes &Departed = State.DepartedCrashes;
-  if (Departed.LatestAt + config::CrashRetention < Now) {
-    Departed.Crashes.clear();
-  }
+  std::erase_if(State.DepartedCrashes, [&](const auto &Entry) {
+    return Entry.second.DepartedAt + config::CrashRetention < Now;
+  });
 }
 
 void countEarlierCrashes(const pool_state &State, open_job &Job) {
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -171,6 +171,7 @@
   recordOwnershipChanges(Ctx, Peer.State.Targets, HostState.Targets);
   Peer.HasState = true;
   Peer.State = std::move(HostState);
+  Ctx.State.DepartedCrashes.erase(Peer.Member.Host);
   expireReservations(Peer, Ctx.Now);
 }
 } // namespace
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -24,12 +24,11 @@
   return peer_link(static_cast<std::uint64_t>(Now.time_since_epoch().count()));
 }
 
-/// Keeps what a process of a peer told of crashes before it ended.
+/// Keeps what a process of a peer told of crashes before it was evicted or
+/// ended.
 void keepCrashes(pool_state &State, const peer_host &Peer, boot_time Now) {
-  departed_crashes &Departed = State.DepartedCrashes;
-  for (const auto &[Task, Count] : Peer.State.Crashes) {
-    Departed.Crashes[Task] += Count;
-    Departed.LatestAt = Now;
+  if (!Peer.State.Crashes.empty()) {
+    State.DepartedCrashes[Peer.Member.Host] = {Peer.State.Crashes, Now};
   }
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -48,10 +48,10 @@
   std::deque<reservation> Reservations;
 };
 
-/// What processes of peers told of crashes before they ended.
+/// What a process of a peer told of crashes before it was evicted or ended.
 struct departed_crashes {
   crash_summary Crashes;
-  boot_time LatestAt;
+  boot_time DepartedAt;
 };
 
 inline void recordTerm(std::map<std::string, std::uint64_t, std::less<>> &Terms,
@@ -202,7 +202,8 @@
   /// Mean of each kind of target.
   std::map<std::string, double, std::less<>> KindSpeeds;
   std::map<std::string, peer_host, std::less<>> Peers;
-  departed_crashes DepartedCrashes;
+  /// Of processes that have told nothing since.
+  std::map<host_ref, departed_crashes> DepartedCrashes;
   owner_state Owner;
   coordinator_state Coordinator;
   std::mt19937_64 Random;
--- a/tests/unit/pool_crash_test.cpp
+++ b/tests/unit/pool_crash_test.cpp
@@ -244,3 +244,42 @@
     CHECK(Count() == crash_count{});
   }
 }
+
+// Guards against counting a crash again that a host tells once more after it
+// was evicted: a sound job would be given up.
+TEST_CASE("a crash told by a host that was evicted meanwhile counts once",
+          "[pool]") {
+  const bool IsCut = GENERATE(true, false);
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 11));
+  CAPTURE(IsCut, Seed);
+  simulation_init Init = makeInit(Seed, 3s);
+  Init.Domains = 1;
+  Init.TargetsPerDomain = 8;
+  pool_simulation World(Init);
+  World.settle();
+  simulated_job Sound{"j", 1};
+  simulated_job Deadly = Sound;
+  Deadly.CrashesAfter = 20ms;
+  World.submit(0, Deadly);
+  World.runFor(60ms);
+  World.submit(0, Sound); // further attempts crash no target
+  World.runFor(5s);
+  REQUIRE(World.mostCrashes() == 1);
+  const std::set<std::size_t> Others{0, 2, 3};
+  for (const std::size_t Other : Others) {
+    if (IsCut) {
+      World.partitionHosts(1, Other);
+    }
+  }
+  World.runFor(3s);
+  if (IsCut) {
+    World.post(1, World.membersWithout(Others));
+  }
+  World.runFor(5s);
+  World.heal();
+  World.deliverSnapshots();
+  World.runFor(1s);
+  const request_handle Again = World.submit(1, Sound);
+  World.runFor(1s);
+  CHECK(World.responseOf(Again) == response_kind::JobDone);
+}
