A new session needs no reply: remove giving jobs up and announcing attempts

A session ends after 5 s of silence. Before, jobs with tasks at the other side are given up (0.9 s) and tasks for its jobs stopped (0.8 s). An announcement could also set a task's owner back to one that had handed its target on since.

The pool's unit tests pass.

--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -226,32 +226,6 @@
   }
 }
 
-namespace {
-/// Gives up a job whose response would be of no use, or whose tasks are lost.
-void giveUp(reducer_context &Ctx, const std::string &Id,
-            std::string_view Reason) {
-  Ctx.count(counter::GivenUpLate);
-  failJob(Ctx, Id, response_kind::JobAbandoned, Reason,
-          describeOwners(Ctx.State.Coordinator.Jobs.find(Id)->second));
-}
-} // namespace
-
-void abandonJobsAt(reducer_context &Ctx, const host_ref &Owner) {
-  std::vector<std::string> Lost;
-  for (const auto &[Id, Job] : Ctx.State.Coordinator.Jobs) {
-    const bool HasTaskThere = std::any_of(
-        Job.Tasks.begin(), Job.Tasks.end(), [&](const job_task &Task) {
-          return Task.Phase == task_phase::Offered && Task.Owner == Owner;
-        });
-    if (HasTaskThere) {
-      Lost.push_back(Id);
-    }
-  }
-  for (const std::string &Id : Lost) {
-    giveUp(Ctx, Id, "owner_lost");
-  }
-}
-
 void expireJobs(reducer_context &Ctx) {
   pool_state &State = Ctx.State;
   reviewHeldJobs(Ctx);
@@ -281,7 +255,9 @@
     }
   }
   for (const auto &[Id, Reason] : Ended) {
-    giveUp(Ctx, Id, Reason);
+    Ctx.count(counter::GivenUpLate);
+    failJob(Ctx, Id, response_kind::JobAbandoned, Reason,
+            describeOwners(State.Coordinator.Jobs.find(Id)->second));
   }
 }
 
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -177,9 +177,10 @@
 } // namespace
 
 namespace {
-/// Begins a new session if a datagram shows that the peer has a new link. The
-/// peer then remembers nothing of this host: its tasks for this host were
-/// stopped, and messages to it may be lost.
+/// Begins a new session if a datagram shows that the peer has a new link.
+/// Messages that are lost with the former one need no reply: after such a
+/// silence jobs with tasks at the other side were given up, and tasks of its
+/// jobs were stopped.
 void beginSession(reducer_context &Ctx, peer_host &Peer,
                   const datagram &Datagram) {
   const std::size_t Unacked = Peer.Link.unackedCount();
@@ -189,8 +190,6 @@
   Ctx.log("session_begun", {{"host", Peer.Member.Host.Name},
                             {"unacked", std::to_string(Unacked)}});
   Peer.NeedsState = true; // it tells the peer of this session
-  abandonJobsAt(Ctx, Peer.Member.Host);
-  announceAttempts(Ctx, Peer.Member.Host);
 }
 } // namespace
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -318,20 +318,6 @@
   }
 }
 
-void announceAttempts(reducer_context &Ctx, const host_ref &Coordinator) {
-  attempts_reassigned Owned;
-  for (const auto &[Id, OwnedTarget] : Ctx.State.Owner.OwnedTargets) {
-    for (const auto &[Ref, Attempt] : OwnedTarget.attempts()) {
-      if (Attempt.Task.Coordinator == Coordinator) {
-        Owned.Attempts.push_back(Ref);
-      }
-    }
-  }
-  if (!Owned.Attempts.empty()) {
-    sendMessage(Ctx, Coordinator, std::move(Owned));
-  }
-}
-
 void evictCancelled(reducer_context &Ctx) {
   std::erase_if(Ctx.State.Owner.Cancelled, [&](const auto &Entry) {
     return Entry.second + config::CancellationRetention < Ctx.Now;
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -299,8 +299,6 @@
                  task_offer &&Offer);
 void cancelTasks(reducer_context &Ctx, const host_ref &From,
                  const tasks_cancelled &Cancelled);
-/// Tells a coordinator which attempts of its jobs this host owns.
-void announceAttempts(reducer_context &Ctx, const host_ref &Coordinator);
 /// Reports outcomes, starts queued tasks, sends lease renewals that are due.
 void processTargets(reducer_context &Ctx);
 /// Updates the mean speed of each kind of target from all hosts' measurements,
@@ -332,8 +330,6 @@
 /// Places waiting jobs, and abandons jobs that have expired or whose owners
 /// have timed out.
 void expireJobs(reducer_context &Ctx);
-/// Abandons the jobs that have tasks at an owner which has forgotten them.
-void abandonJobsAt(reducer_context &Ctx, const host_ref &Owner);
 /// Abandons every job before the process is killed.
 void abandonAllJobs(reducer_context &Ctx);
 boot_time nextJobTimerAt(const pool_state &State);
