--- a/tests/unit/pool_isolation_test.cpp
+++ b/tests/unit/pool_isolation_test.cpp
@@ -195,3 +195,75 @@
   CHECK(World.count(response_kind::JobAbandoned) == 0);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
+
+namespace {
+/// How the first host is cut off from the others.
+enum class isolation : std::uint8_t { Both, From, To, Pause };
+
+void beginIsolation(pool_simulation &World, isolation Kind) {
+  if (Kind == isolation::Pause) {
+    World.pause(0);
+    return;
+  }
+  for (std::size_t Other = 1; Other < Hosts; ++Other) {
+    if (Kind != isolation::To) {
+      World.cutDatagrams(0, Other);
+    }
+    if (Kind != isolation::From) {
+      World.cutDatagrams(Other, 0);
+    }
+  }
+}
+
+void endIsolation(pool_simulation &World, isolation Kind) {
+  if (Kind == isolation::Pause) {
+    World.resume(0);
+  }
+  World.heal();
+  World.deliverSnapshots();
+}
+
+/// Checks that hosts without work send no message again and start no task.
+void checkIsQuiet(pool_simulation &World) {
+  const std::uint64_t Resent = World.counterTotal(counter::MessagesResent);
+  const std::uint64_t Starts = World.startCount();
+  World.runFor(3s);
+  CHECK(World.counterTotal(counter::MessagesResent) == Resent);
+  CHECK(World.startCount() == Starts);
+  CHECK(World.areTargetsIdle());
+}
+} // namespace
+
+TEST_CASE("hosts work together again after each kind of isolation", "[pool]") {
+  const isolation Kind = GENERATE(isolation::Both, isolation::From,
+                                  isolation::To, isolation::Pause);
+  const bool IsUnlisted = GENERATE(true, false);
+  const bool LosesOthers = GENERATE(true, false); // and evicts them, too
+  const std::uint64_t Seed = GENERATE(1U, 2U);
+  CAPTURE(static_cast<int>(Kind), IsUnlisted, LosesOthers, Seed);
+  pool_simulation World(worldOf(Seed));
+  World.settle();
+  for (const std::string Round : {"first", "second"}) {
+    submitContended(World, 1s, Round + "busy");
+    beginIsolation(World, Kind);
+    submitContended(World, 1s, Round + "cut");
+    World.runFor(2s);
+    if (IsUnlisted) {
+      listWithout(World, {0});
+    }
+    if (LosesOthers && Kind != isolation::Pause) {
+      World.post(0, World.membersWithout({1, 2, 3}));
+    }
+    World.runFor(5s);
+    endIsolation(World, Kind);
+    World.runFor(600ms);
+    simulated_job Light;
+    Light.Tasks = 2;
+    Light.RunTime = 30ms;
+    checkJobsDone(World,
+                  submitFor(World, Hosts, 2s, 100ms, Light, Round + "light"));
+    World.runFor(1s);
+    checkIsQuiet(World);
+  }
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
