Ignore a late reassignment from an earlier owner of the target

What callers would see: TWICE, an abandoned job's tasks run beside those of its next submission.

Cause: a target can be handed over twice within the time that a message takes when it is lost and retransmitted. attempts_reassigned told who sent it, but not which of two is the later one; the coordinator took the one that it read last as the owner, and sent the cancellation of the task there. The true owner went on with the attempt and with its lease.

Change: the message carries the sender's fencing token for the target; one with a lower token than that of the recorded owner is ignored. Without a token (from a host of an earlier version) it is taken as before.

Why it works: the token rises with each handover, and an attempt never leaves its target, so of two reassignments the one with the higher token is the later one.

--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -53,6 +53,9 @@
 /// that they were offered to.
 struct attempts_reassigned {
   std::vector<attempt_ref> Attempts;
+  /// Fencing token of the sender for the target, above that of any earlier
+  /// owner; 0: from a host of a version that doesn't tell it.
+  std::uint64_t Token = 0;
 };
 
 /// An attempt that runs, or may run, on a target that is handed over.
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -217,12 +217,18 @@
     job_task *Task = Found == Ctx.State.Coordinator.Jobs.end()
                          ? nullptr
                          : findTask(Found->second, Attempt);
-    if (Task != nullptr) {
-      Task->Owner = From;
-    } else {
+    if (Task == nullptr) {
       // The task ended while it was being reassigned.
       sendMessage(Ctx, From, tasks_cancelled{{Attempt}});
+      continue;
+    }
+    const bool IsLate =
+        Reassigned.Token != 0 && Reassigned.Token < Task->OwnerToken;
+    if (IsLate) {
+      continue; // the target has a later owner
     }
+    Task->Owner = From;
+    Task->OwnerToken = std::max(Task->OwnerToken, Reassigned.Token);
   }
 }
 
--- a/src/core/pool/job_offers.cpp
+++ b/src/core/pool/job_offers.cpp
@@ -138,6 +138,7 @@
   ++Task.AttemptNumber;
   Task.Phase = task_phase::Offered;
   Task.Owner = hostRefOf(State, Host);
+  Task.OwnerToken = 0;
   // An owner without free capacity refuses the task, which is then offered
   // elsewhere. The last permitted offer allows queueing, which bounds that.
   const bool MayQueue = Placement.Target.empty() ||
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -303,6 +303,7 @@
   ownership_context Context = Ctx.ownershipContext();
   owned_target OwnedTarget(Listed->second.Record, State.OwnerNumber, 0);
   OwnedTarget.acceptHandover(Handover, Context);
+  const std::uint64_t Token = OwnedTarget.token();
   Listed->second.Speed.seed(Handover.Speed);
   State.Owner.OwnedTargets.emplace(Handover.Target, std::move(OwnedTarget));
   State.Owner.markCapacityChanged();
@@ -311,6 +312,7 @@
   for (const handover_attempt &Transferred : Handover.Attempts) {
     auto &[Coordinator, Message] = Moved[Transferred.Coordinator.Name];
     Coordinator = Transferred.Coordinator;
+    Message.Token = Token;
     Message.Attempts.push_back(Transferred.Attempt);
   }
   for (auto &[Name, Entry] : Moved) {
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -162,7 +162,13 @@
 }
 
 array encode(const attempts_reassigned &Reassigned) {
-  return row("moved", encode(Reassigned.Attempts));
+  return row("moved", encode(Reassigned.Attempts), Reassigned.Token);
+}
+attempts_reassigned decodeReassigned(const value &Row) {
+  constexpr std::size_t TokenIndex = 2;
+  const bool HasToken = Row.as_array().size() > TokenIndex;
+  return {decodeAttempts(at(Row, 1)),
+          HasToken ? decodeUint64(at(Row, TokenIndex)) : 0};
 }
 
 array encode(const target_handover &Handover) {
@@ -209,7 +215,7 @@
     return tasks_cancelled{decodeAttempts(at(Row, 1))};
   }
   if (Kind == "moved") {
-    return attempts_reassigned{decodeAttempts(at(Row, 1))};
+    return decodeReassigned(Row);
   }
   if (Kind == "handover") {
     return decodeHandover(Row);
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -123,6 +123,8 @@
   task_phase Phase = task_phase::Unplaced;
   std::uint32_t AttemptNumber = 0; ///< of the latest attempt
   host_ref Owner;                  ///< of the latest attempt
+  /// Of the owner that the attempt was last reassigned to, 0 if it wasn't.
+  std::uint64_t OwnerToken = 0;
   std::uint32_t Failures = 0;
   std::uint32_t Rejections = 0; ///< refusals by owners since the latest attempt
   std::string AvoidTarget;
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -269,6 +269,7 @@
                      {{0, 2, 1, Half, 50ms, 100ms, 300ms, true, "t"}}}});
   Sent.Messages.push_back(
       {5, task_ended{{"j", 0, 2, 1}, attempt_outcome::Crashed, "t", 5ms}});
+  Sent.Messages.push_back({6, attempts_reassigned{{{"j", 0, 2, 1}}, 8}});
   const auto Read = decodeDatagram(encodeDatagram(Sent, encodeState(State)));
   REQUIRE(Read);
   CHECK(Read->From == Sent.From);
@@ -278,11 +279,16 @@
   CHECK(std::get<task_offer>(Read->Messages[0].Message).Tasks[0].Task == 2);
   CHECK(std::get<task_ended>(Read->Messages[1].Message).Outcome ==
         attempt_outcome::Crashed);
+  CHECK(std::get<attempts_reassigned>(Read->Messages[2].Message).Token == 8);
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, "[true]x")));
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, ""))->State);
   // Of an earlier version.
   CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[]]"))
             ->State->Crashes.empty());
+  const auto Earlier = decodeDatagram(
+      R"([["a",1],"d",0,0,0,0,[],[[1,["moved",[["j",0,2,1]]]]],0,0])");
+  REQUIRE(Earlier);
+  CHECK(std::get<attempts_reassigned>(Earlier->Messages[0].Message).Token == 0);
   for (const char *Bad : {"", "{}", "[1]", "[[\"a\",\"b\"]]", "\xff"}) {
     CHECK_FALSE(decodeDatagram(Bad));
   }
