Keep datagrams between hosts within what UDP carries

What callers would see: jobs that wait until their time limit, since messages between two hosts never arrive.

Cause: a link fills a datagram by an estimate of its messages' sizes, which left out the lists of refusals and reassignments, the ids of jobs and long escapes, and an offer was never divided. sendto refuses what is larger than 65,507 bytes without a word, and what was sent together is due together again.

Change: the estimate counts all that grows, in a module of its own; an offer that is too large for a datagram is queued in parts; a datagram that is too large all the same is logged.

Why it works: each message's estimate is an upper bound of its encoded size, so a datagram holds at most 32 KB of messages or a single one.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -159,6 +159,8 @@
 constexpr milliseconds MaxRetransmitTimeout{320};
 /// Estimated size of a datagram's messages; only a single one may be larger.
 constexpr std::size_t MaxDatagramBytes = 32U << 10U;
+/// Of a datagram: the most that UDP over IPv4 carries.
+constexpr std::size_t MaxUdpPayloadBytes = 65'507;
 /// Per peer; further messages are dropped until some are acknowledged.
 constexpr std::size_t MaxUnackedMessages = 4'000;
 
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -112,6 +112,15 @@
                   [](const auto &Entry) { return Entry.second.NeedsState; })};
 }
 
+/// Logs a datagram that the network can't carry.
+void logIfTooLarge(const reducer_context &Ctx, const peer_host &Peer,
+                   std::size_t Bytes) {
+  if (Bytes > config::MaxUdpPayloadBytes) {
+    Ctx.log("datagram_too_large", {{"host", Peer.Member.Host.Name},
+                                   {"bytes", std::to_string(Bytes)}});
+  }
+}
+
 /// @param[in] HostState result of encodeState, empty when none is due
 void sendTo(reducer_context &Ctx, peer_host &Peer, std::string_view HostState) {
   pool_state &State = Ctx.State;
@@ -129,8 +138,10 @@
   Ctx.count(counter::MessagesResent,
             Peer.Link.fill(Datagram, Ctx.Now, IsHeard));
   Ctx.count(counter::DatagramsSent);
+  std::string Bytes = encodeDatagram(Datagram, HostState);
+  logIfTooLarge(Ctx, Peer, Bytes.size());
   Ctx.Effects.emplace_back(
-      send_datagram{Peer.Member.Address, encodeDatagram(Datagram, HostState)});
+      send_datagram{Peer.Member.Address, std::move(Bytes)});
 }
 } // namespace
 
--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "core/pool/peer_link_p.h"
 
+#include "core/pool/peer_message_size_p.h"
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
@@ -10,23 +11,6 @@
 /// Messages that one datagram acknowledges selectively, at most.
 constexpr std::size_t MaxSelectiveAcks = 200;
 
-/// @returns estimated size of an encoded message, in bytes
-std::size_t estimatedSize(const peer_message &Message) {
-  constexpr std::size_t BaseBytes = 120;
-  constexpr std::size_t TaskBytes = 90;
-  if (const auto *Offer = std::get_if<task_offer>(&Message)) {
-    return BaseBytes + 2 * Offer->Specification.size() +
-           TaskBytes * Offer->Tasks.size();
-  }
-  if (const auto *Handover = std::get_if<target_handover>(&Message)) {
-    return BaseBytes + 2 * TaskBytes * Handover->Attempts.size();
-  }
-  if (const auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
-    return BaseBytes + TaskBytes * Cancelled->Attempts.size();
-  }
-  return BaseBytes;
-}
-
 /// Removes cancelled tasks from an offer.
 void removeCancelled(task_offer &Offer, const tasks_cancelled &Cancelled) {
   std::erase_if(Offer.Tasks, [&](const offered_task &Task) {
@@ -44,10 +28,20 @@
   } else if (Unacked.size() >= config::MaxUnackedMessages) {
     return false;
   }
+  if (auto *Offer = std::get_if<task_offer>(&Message)) {
+    for (task_offer &Part : splitOffer(std::move(*Offer))) {
+      queue(std::move(Part), Now);
+    }
+    return true;
+  }
+  queue(std::move(Message), Now);
+  return true;
+}
+
+void peer_link::queue(peer_message Message, boot_time Now) {
   Unacked.emplace(++LastNumber,
                   unacked_message{std::move(Message), Now, Now,
                                   config::MinRetransmitTimeout, false});
-  return true;
 }
 
 void peer_link::removeFromUnackedOffers(const tasks_cancelled &Cancelled) {
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -23,9 +23,10 @@
   /// @param[in] Epoch higher than that of any earlier link to the peer
   explicit peer_link(std::uint64_t Epoch) : Epoch(Epoch) {}
 
-  /// Queues a message and keeps it until the peer has acknowledged it. A
-  /// message that cancels tasks also removes them from unacknowledged offers:
-  /// when retransmitted, these would be started though nobody waits for them.
+  /// Queues a message and keeps it until the peer has acknowledged it. An offer
+  /// that is too large for a datagram is queued in parts. A message that
+  /// cancels tasks also removes them from unacknowledged offers: when
+  /// retransmitted, these would be started though nobody waits for them.
   /// @returns false if too many are unacknowledged: the peer receives nothing.
   /// A cancellation is queued all the same.
   bool push(peer_message Message, boot_time Now);
@@ -67,6 +68,7 @@
   std::optional<boot_time> oldestUnackedAt() const;
 
 private:
+  void queue(peer_message Message, boot_time Now);
   void removeFromUnackedOffers(const tasks_cancelled &Cancelled);
 
   struct unacked_message {
