Add cancellations to a datagram before older messages

What callers would see: TWICE, if the datagrams that follow are lost.

Cause: messages are added in the order of their numbers up to 32 KB, so a datagram of a busy link brought the contact that keeps a lease, but not the cancellation of a task under it (INVARIANTS C7).

Change: unacknowledged cancellations are added first, then what is due.

Why it works: whatever else is due, a datagram has room for 32 KB of cancellations.

--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -69,28 +69,41 @@
   }
   std::size_t Bytes = 0;
   std::size_t Retransmitted = 0;
-  for (auto &[Number, Pending] : Unacked) {
-    const bool IsRepeated =
-        RepeatsCancellations &&
-        std::holds_alternative<tasks_cancelled>(Pending.Message);
-    if (Pending.DueAt > Now && !IsRepeated) {
-      continue;
-    }
+  const auto Add = [&](std::uint64_t Number, unacked_message &Pending) {
     const std::size_t Size = estimatedSize(Pending.Message);
     if (Bytes > 0 && Bytes + Size > config::MaxDatagramBytes) {
-      break;
+      return false;
     }
     Bytes += Size;
     Retransmitted += Pending.WasSent ? 1 : 0;
-    Pending.WasSent = true;
-    Pending.DueAt = Now + Pending.RetransmitTimeout;
-    Pending.RetransmitTimeout = std::min<milliseconds>(
-        2 * Pending.RetransmitTimeout, config::MaxRetransmitTimeout);
+    Pending.markSent(Now);
     Datagram.Messages.push_back({Number, Pending.Message});
+    return true;
+  };
+  for (auto &[Number, Pending] : Unacked) {
+    const bool IsRepeated =
+        RepeatsCancellations &&
+        std::holds_alternative<tasks_cancelled>(Pending.Message);
+    if (IsRepeated && !Add(Number, Pending)) {
+      return Retransmitted;
+    }
+  }
+  for (auto &[Number, Pending] : Unacked) {
+    // What was just added is due later.
+    if (Pending.DueAt <= Now && !Add(Number, Pending)) {
+      return Retransmitted;
+    }
   }
   return Retransmitted;
 }
 
+void peer_link::unacked_message::markSent(boot_time Now) {
+  WasSent = true;
+  DueAt = Now + RetransmitTimeout;
+  RetransmitTimeout = std::min<milliseconds>(2 * RetransmitTimeout,
+                                             config::MaxRetransmitTimeout);
+}
+
 bool peer_link::beginSession(const datagram &Datagram) {
   if (Datagram.Epoch <= PeerEpoch) {
     return false;
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -35,7 +35,7 @@
   /// retransmissions.
   ///
   /// @param[in] RepeatsCancellations whether all unacknowledged cancellations
-  /// are due, so that whoever receives the datagram has them
+  /// are due, and added first, so that whoever receives the datagram has them
   /// @returns number of retransmitted messages
   /// @remarks No message is due before the peer's epoch is known.
   std::size_t fill(datagram &Datagram, boot_time Now,
@@ -77,6 +77,9 @@
     boot_time DueAt;
     milliseconds RetransmitTimeout{};
     bool WasSent = false;
+
+    /// Sets when it is due for retransmission.
+    void markSent(boot_time Now);
   };
   std::uint64_t Epoch = 1;
   std::uint64_t PeerEpoch = 0; ///< 0: none received yet
--- a/tests/unit/peer_link_size_test.cpp
+++ b/tests/unit/peer_link_size_test.cpp
@@ -2,6 +2,7 @@
 #include "core/pool/peer_link_p.h"
 #include "tarragonbridge/pool/config.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace tarragonbridge;
@@ -108,3 +109,31 @@
   CHECK(Largest <= config::MaxUdpPayloadBytes);
   CHECK(Tasks == Count * taskCount(Case.Message));
 }
+
+// Guards against contact that keeps the lease of an abandoned task and doesn't
+// bring its cancellation, since older messages fill the datagram.
+TEST_CASE("a cancellation goes with the next datagram before older messages",
+          "[pool]") {
+  constexpr std::size_t Count = 40;
+  const boot_time Start{1s};
+  peer_link Sender(5);
+  peer_link Receiver(7);
+  connect(Sender, Receiver);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    REQUIRE(Sender.push(offerOf(2, 'a'), Start));
+  }
+  REQUIRE(Sender.push(tasks_cancelled{{{"other", 0, 0, 1}}}, Start));
+  const auto HasCancellation = [&](boot_time Now) {
+    datagram Datagram;
+    Sender.fill(Datagram, Now, true);
+    CHECK(encodeDatagram(Datagram, "").size() <= config::MaxUdpPayloadBytes);
+    return std::any_of(Datagram.Messages.begin(), Datagram.Messages.end(),
+                       [](const datagram::numbered_message &Message) {
+                         return std::holds_alternative<tasks_cancelled>(
+                             Message.Message);
+                       });
+  };
+  CHECK(HasCancellation(Start));
+  CHECK(HasCancellation(Start + 1ms));   // not due for retransmission
+  CHECK(HasCancellation(Start + 400ms)); // all are due
+}
