Hear a host that restarted after its clock was set back

What callers would see: jobs without an answer in time, at the host and of those offered to it.

Cause: a process is numbered by its time of day. Peers ignored the datagrams of a lower number as those of an earlier process, also when the process that they knew had ended: until they evicted the host after 5 s, or for good if its entry in the list of hosts was replaced.

Change: a lower number counts as an earlier process only while the known one was heard, or came to be known, within the last 0.9 s; the list of hosts had this rule.

Why it works: a live process is heard every 0.1 s. If it is only silent, it takes its place again with its next datagram, since its number is the higher one.

--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -17,12 +17,11 @@
   const datagram &Datagram = Received.Datagram;
   const auto Found = Ctx.State.Peers.find(Datagram.From.Name);
   if (Found != Ctx.State.Peers.end()) {
-    const std::uint64_t Known = Found->second.Member.Host.Incarnation;
-    if (Datagram.From.Incarnation == Known) {
+    if (Datagram.From == Found->second.Member.Host) {
       return &Found->second;
     }
-    if (Datagram.From.Incarnation < Known) {
-      return nullptr; // an earlier process of the host
+    if (isSuperseded(Found->second, Datagram.From.Incarnation, Ctx.Now)) {
+      return nullptr;
     }
   }
   return &resetPeer(
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -34,6 +34,12 @@
 
 } // namespace
 
+bool isSuperseded(const peer_host &Peer, std::uint64_t Incarnation,
+                  boot_time Now) {
+  return Incarnation < Peer.Member.Host.Incarnation &&
+         lastContactAt(Peer) + config::HostTimeout >= Now;
+}
+
 peer_host &resetPeer(reducer_context &Ctx, const member_record &Member) {
   const auto Former = Ctx.State.Peers.find(Member.Host.Name);
   if (Former != Ctx.State.Peers.end()) {
@@ -57,9 +63,8 @@
   }
   const auto Found = Ctx.State.Peers.find(Member.Host.Name);
   if (Found != Ctx.State.Peers.end() &&
-      Member.Host.Incarnation < Found->second.Member.Host.Incarnation &&
-      lastContactAt(Found->second) + config::HostTimeout >= Ctx.Now) {
-    return; // the list is stale: a later process of the host is alive
+      isSuperseded(Found->second, Member.Host.Incarnation, Ctx.Now)) {
+    return; // the list is stale
   }
   const bool IsSame =
       Found != Ctx.State.Peers.end() &&
--- a/src/core/pool/peers_p.h
+++ b/src/core/pool/peers_p.h
@@ -15,4 +15,10 @@
 /// @returns whether there are so few hosts that each is a neighbour of all
 bool areAllNeighbours(const pool_state &State);
 
+/// @returns whether a process of a host is an earlier one than the process that
+/// is known, which is alive. Numbers of processes alone don't tell: they are
+/// times of day, and clocks are set back.
+bool isSuperseded(const peer_host &Peer, std::uint64_t Incarnation,
+                  boot_time Now);
+
 } // namespace tarragonbridge::pool
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -125,8 +125,9 @@
 
 void pool_simulation::startProcess(std::size_t Host) {
   simulated_host &Simulated = Hosts[Host];
+  const boot_time TimeOfDay = Now + Simulated.ClockStep;
   Simulated.Init.Incarnation =
-      static_cast<std::uint64_t>(Now.time_since_epoch().count()) + Host;
+      static_cast<std::uint64_t>(TimeOfDay.time_since_epoch().count()) + Host;
   Simulated.Init.RandomSeed = Simulated.Init.Incarnation + Init.Seed;
   Simulated.Host = makePoolHost(Simulated.Init);
   ++Simulated.Generation;
@@ -342,6 +343,10 @@
   deliverSnapshots();
 }
 
+void pool_simulation::stepClock(std::size_t Host, microseconds Step) {
+  Hosts[Host].ClockStep += Step;
+}
+
 void pool_simulation::terminate(std::size_t Host, milliseconds Allowed) {
   trace(hostName(Host), {"terminated", {}});
   post(Host, shutdown_requested{Allowed});
--- a/tests/unit/pool_simulation_p.h
+++ b/tests/unit/pool_simulation_p.h
@@ -12,6 +12,7 @@
 
 struct pool_simulation::simulated_host {
   pool_init Init;
+  microseconds ClockStep{};     ///< of its time of day
   pool_host Host;               ///< null: dead
   std::uint64_t Generation = 0; ///< rises with each start and kill
   boot_time TimerAt = boot_time::max();
