Assign targets only to hosts that can own them

What callers would see: while the store is away and a host has restarted, a share of the targets serves nobody, and jobs with tasks there wait until they expire.

Cause: a restarted host answers its peers, so it counts as alive and gets its share of the targets. Without the store it has neither an owner number nor the list of targets: it drops what is handed over to it, and takes nothing over.

Change: a host's state tells whether it can own targets, and is sent at once when that changes. Targets are assigned and handed over only to hosts that can. States of earlier versions, which don't tell, count as able.

Why it works: the others assign all targets among themselves, and share them anew once the host has registered.

--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -118,6 +118,8 @@
   std::uint32_t Slots = 0;           ///< tasks that its targets can run at once
   std::vector<target_free_capacity> Targets;
   crash_summary Crashes = {}; ///< of its targets, recently
+  /// Whether it can own targets: it is registered, and knows hosts and targets.
+  bool CanOwnTargets = true;
 };
 
 /// A datagram between two hosts: the latest host state, reliable messages and
--- a/src/core/pool/owner_capacity.cpp
+++ b/src/core/pool/owner_capacity.cpp
@@ -166,6 +166,7 @@
   HostState.PredictedQueueWait =
       predictQueueWait(State, Now).value_or(milliseconds(0));
   HostState.Crashes = ownCrashes(State);
+  HostState.CanOwnTargets = canOwnTargets(State);
   const auto Serving = servingTargets(State, Now);
   for (const auto &[Id, OwnedTarget] : State.Owner.OwnedTargets) {
     if (OwnedTarget.phase() == ownership_phase::Lost) {
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -24,6 +24,11 @@
   return nullptr;
 }
 
+/// @returns whether targets may be assigned to a peer, as it last told
+bool mayOwnTargets(const peer_host &Peer) {
+  return !Peer.State.IsShuttingDown && Peer.State.CanOwnTargets;
+}
+
 /// @returns the hosts that may own targets, this one included
 std::vector<host_location> eligibleHosts(const pool_state &State,
                                          boot_time Now) {
@@ -32,7 +37,7 @@
     Hosts.push_back({State.Init.Name, State.Init.FailureDomain});
   }
   for (const auto &[Name, Peer] : State.Peers) {
-    if (isAlive(State, Peer, Now) && !Peer.State.IsShuttingDown) {
+    if (isAlive(State, Peer, Now) && mayOwnTargets(Peer)) {
       Hosts.push_back({Name, Peer.Member.FailureDomain});
     }
   }
@@ -65,7 +70,7 @@
 }
 
 bool canAcceptHandover(const peer_host &Peer, boot_time Now) {
-  return !Peer.State.IsShuttingDown &&
+  return mayOwnTargets(Peer) &&
          peerReceivedWithin(Peer, Now, config::HandoverPeerTimeout);
 }
 
@@ -255,6 +260,11 @@
 }
 } // namespace
 
+bool canOwnTargets(const pool_state &State) {
+  return State.HasMemberSnapshot && State.HasTargetSnapshot &&
+         State.OwnerNumber != 0;
+}
+
 void handleTargets(reducer_context &Ctx, targets_listed &&Listed) {
   pool_state &State = Ctx.State;
   std::vector<std::string> Gone = std::move(Listed.Removed);
@@ -325,8 +335,7 @@
   removeMissing(Ctx);
   yieldToHigherTokens(Ctx);
   dropFinished(Ctx);
-  if (!State.HasMemberSnapshot || !State.HasTargetSnapshot ||
-      State.OwnerNumber == 0 || State.IsShuttingDown ||
+  if (!canOwnTargets(State) || State.IsShuttingDown ||
       !haveOwnersAdvertised(State, Ctx.Now)) {
     return;
   }
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -253,7 +253,7 @@
   }
   return row(State.IsShuttingDown, std::int64_t(State.ConfigurationVersion),
              encodeTime(State.PredictedQueueWait), State.Slots, Targets,
-             encode(State.Crashes));
+             encode(State.Crashes), State.CanOwnTargets);
 }
 host_state decodeState(const value &Row) {
   host_state State{at(Row, 0).as_bool(),
@@ -266,6 +266,9 @@
   if (Row.as_array().size() > CrashesIndex) {
     State.Crashes = decodeCrashes(at(Row, CrashesIndex));
   }
+  constexpr std::size_t CanOwnIndex = 6;
+  State.CanOwnTargets =
+      Row.as_array().size() <= CanOwnIndex || at(Row, CanOwnIndex).as_bool();
   for (const value &FreeCapacity : at(Row, 4).as_array()) {
     State.Targets.push_back(
         {decodeText(at(FreeCapacity, 0)), decodeText(at(FreeCapacity, 1)),
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -254,7 +254,11 @@
 void reduce(pool_state &State, event &&Event, boot_time Now,
             std::vector<effect> &Effects) {
   reducer_context Ctx{State, Now, Effects};
+  const bool CouldOwnTargets = canOwnTargets(State);
   std::visit([&](auto &Kind) { handle(Ctx, std::move(Kind)); }, Event);
+  if (canOwnTargets(State) != CouldOwnTargets) {
+    State.Owner.markCapacityChanged(); // peers have to know
+  }
   logLoad(Ctx);
   if (Now >= State.AssignmentDueAt) {
     State.AssignmentDueAt = Now + config::AssignmentInterval;
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -288,6 +288,10 @@
 
 // Module ownership: which targets this host owns.
 
+/// @returns whether this host can own targets. It can't after a start without
+/// the store.
+bool canOwnTargets(const pool_state &State);
+
 void handleTargets(reducer_context &Ctx, targets_listed &&Listed);
 void handleHandover(reducer_context &Ctx, target_handover &&Handover);
 /// Takes over, hands over and drops targets according to the assignment.
--- a/tests/unit/pool_handover_test.cpp
+++ b/tests/unit/pool_handover_test.cpp
@@ -43,3 +43,28 @@
   World.runFor(7s);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
+
+// Guards against targets that are handed to a host that can't own them, and
+// have no owner from then on.
+TEST_CASE("a host that restarts without the store gets no targets", "[pool]") {
+  const milliseconds DownTime = GENERATE(100ms, 300ms, 700ms, 2s);
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 6));
+  CAPTURE(DownTime.count(), Seed);
+  constexpr std::size_t Hosts = 3;
+  simulation_init Init;
+  Init.Hosts = Hosts;
+  Init.TargetsPerDomain = 12;
+  Init.Seed = Seed;
+  pool_simulation World(Init);
+  World.settle();
+  World.kill(1);
+  World.runFor(DownTime);
+  World.restartWithoutStore(1);
+  World.runFor(3s);
+  std::size_t Owned = 0;
+  for (std::size_t Host = 0; Host < Hosts; ++Host) {
+    Owned += World.hostMetrics(Host).TargetsOwned;
+  }
+  CHECK(Owned == World.targetCount());
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -259,7 +259,8 @@
   datagram Sent;
   Sent.From = {"a", 1ULL << 52U};
   const host_state State{
-      true, 7, 12ms, 3, {{"t", "desk", Half, 0.5}}, {{{"j", 0, 2}, {1, 2}}}};
+      true, 7, 12ms, 3, {{"t", "desk", Half, 0.5}}, {{{"j", 0, 2}, {1, 2}}},
+      false};
   Sent.AckedStateNumber = 9;
   Sent.Messages.push_back(
       {4, task_offer{"j",
@@ -276,13 +277,16 @@
   CHECK(Read->AckedStateNumber == 9);
   CHECK(Read->State->Targets.at(0).Speed == 0.5);
   CHECK(Read->State->Crashes == State.Crashes);
+  CHECK_FALSE(Read->State->CanOwnTargets);
   CHECK(std::get<task_offer>(Read->Messages[0].Message).Tasks[0].Task == 2);
   CHECK(std::get<task_ended>(Read->Messages[1].Message).Outcome ==
         attempt_outcome::Crashed);
   CHECK(std::get<attempts_reassigned>(Read->Messages[2].Message).Token == 8);
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, "[true]x")));
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, ""))->State);
-  // Of an earlier version.
+  // Of earlier versions.
+  CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[],[]]"))
+            ->State->CanOwnTargets);
   CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[]]"))
             ->State->Crashes.empty());
   const auto Earlier = decodeDatagram(
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -343,6 +343,11 @@
   deliverSnapshots();
 }
 
+void pool_simulation::restartWithoutStore(std::size_t Host) {
+  trace(hostName(Host), {"restarted_without_store", {}});
+  startProcess(Host);
+}
+
 void pool_simulation::stepClock(std::size_t Host, microseconds Step) {
   Hosts[Host].ClockStep += Step;
 }
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -96,6 +96,8 @@
 
   void kill(std::size_t Host);
   void restart(std::size_t Host);
+  /// Restarts a host that reaches no store until the next snapshots.
+  void restartWithoutStore(std::size_t Host);
   /// Steps the time of day of a host, by which its processes are numbered.
   void stepClock(std::size_t Host, microseconds Step);
   void terminate(std::size_t Host, milliseconds Allowed);
