Send unacknowledged reassignments with each datagram

What callers would see: TWICE, a task of a job that was answered 504 runs beside its resubmission.

Cause: a coordinator cancels a task at the owner that it knows. It had confirmed states of the target's next owner, which renewed the lease by that contact, but the reassignment still waited for its retransmission: the cancellation went to the former owner, and the coordinator ended.

Change: reassignments that aren't acknowledged are in each datagram, as cancellations are.

Why it works: a coordinator that has confirmed a state has also handled the reassignments before it, and responds to them with the cancellations that the new owner needs.

--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -82,8 +82,9 @@
   };
   for (auto &[Number, Pending] : Unacked) {
     const bool IsRepeated =
-        RepeatsCancellations &&
-        std::holds_alternative<tasks_cancelled>(Pending.Message);
+        std::holds_alternative<attempts_reassigned>(Pending.Message) ||
+        (RepeatsCancellations &&
+         std::holds_alternative<tasks_cancelled>(Pending.Message));
     if (IsRepeated && !Add(Number, Pending)) {
       return Retransmitted;
     }
--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -32,7 +32,8 @@
   bool push(peer_message Message, boot_time Now);
 
   /// Adds all acknowledgements and the messages that are due: new ones and
-  /// retransmissions.
+  /// retransmissions. Unacknowledged reassignments are always due: a peer that
+  /// confirms a state of this host has to know what this host owns.
   ///
   /// @param[in] RepeatsCancellations whether all unacknowledged cancellations
   /// are due, and added first, so that whoever receives the datagram has them
--- a/tests/unit/peer_link_size_test.cpp
+++ b/tests/unit/peer_link_size_test.cpp
@@ -137,3 +137,26 @@
   CHECK(HasCancellation(Start + 1ms));   // not due for retransmission
   CHECK(HasCancellation(Start + 400ms)); // all are due
 }
+
+// Guards against contact with a coordinator that doesn't know the new owner of
+// its tasks, and cancels them at the former one.
+TEST_CASE("a reassignment goes with each datagram until it is acknowledged",
+          "[pool]") {
+  const boot_time Start{1s};
+  peer_link Sender(5);
+  peer_link Receiver(7);
+  connect(Sender, Receiver);
+  REQUIRE(Sender.push(attempts_reassigned{{{"j", 0, 0, 1}}, 8}, Start));
+  const auto MessagesAt = [&](boot_time Now) {
+    datagram Datagram;
+    Sender.fill(Datagram, Now);
+    return Datagram.Messages.size();
+  };
+  CHECK(MessagesAt(Start) == 1);
+  CHECK(MessagesAt(Start + 1ms) == 1); // not due for retransmission
+  datagram Ack;
+  CHECK(Receiver.accept(1));
+  Receiver.fill(Ack, Start + 2ms);
+  Sender.acknowledge(Ack);
+  CHECK(MessagesAt(Start + 3ms) == 0);
+}
