Walk the simulated pool with restarts while messages are late

A new family of the walks: hosts restart by SIGTERM, or after a kill without the store, their clocks are set back, and datagrams to some hosts are late.

--- a/tests/unit/pool_isolation_walk_test.cpp
+++ b/tests/unit/pool_isolation_walk_test.cpp
@@ -1,13 +1,14 @@
 /// Random walks of the simulated pool in which hosts are cut off from all
 /// others for so long that these evict them, more than once and with hundreds
-/// of messages in between, by family.
+/// of messages in between, by family. One family restarts hosts while
+/// messages are late.
 #include "pool_simulation.h"
+#include "walk_callers.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <iostream>
-#include <list>
 
 using namespace tarragonbridge;
 using namespace tarragonbridge::pool;
@@ -17,12 +18,14 @@
 constexpr milliseconds RegistrationTime{3'000}; ///< without a renewal
 constexpr milliseconds MinCutTime{3'000};
 constexpr milliseconds MaxCutTime{9'000};
+constexpr milliseconds MinBriefCut{50};
+constexpr milliseconds MaxBriefCut{800};
+constexpr milliseconds ClockStep{-2'400};
 constexpr std::size_t MaxIsolated = 3; ///< hosts, by one cut
 constexpr milliseconds MinPauseTime{4'000};
 constexpr milliseconds MaxPauseTime{9'000};
 constexpr milliseconds MinWalkTime{25'000};
 constexpr milliseconds MaxWalkTime{40'000};
-constexpr milliseconds ResubmitDelay{1'300}; ///< after a break or a 504
 constexpr milliseconds RetryDelay{50};   ///< while the host chosen doesn't run
 constexpr milliseconds QuietTime{6'000}; ///< after the last response
 /// Longer than the default time limit of a job, with resubmissions.
@@ -37,7 +40,11 @@
   Pause,
   Kill, ///< and restart later
   Leave,
-  SlowDown, ///< some of the targets
+  SlowDown,            ///< some of the targets
+  CutBriefly,          ///< datagrams of a host to some others, which are late
+  Restart,             ///< by SIGTERM, and at once
+  RestartWithoutStore, ///< after a kill; the store is reached later
+  StepClock,           ///< of a host, back by more than a process may live
 };
 
 struct repeated_disruption {
@@ -53,15 +60,7 @@
   std::size_t TargetsPerDomain = 8;
   std::vector<repeated_disruption> Disruptions;
   double DatagramLoss = 0.01;
-};
-
-/// One job as its caller sees it.
-struct caller {
-  simulated_job Job;
-  std::size_t Host = 0;
-  request_handle Request{};
-  boot_time SubmittedAt;
-  std::optional<boot_time> ResubmitAt;
+  std::uint64_t JobsPerLongJob = 100;
 };
 
 /// Datagrams are dropped from the first host to the second.
@@ -72,7 +71,7 @@
   isolation_walk(const walk_family &Family, std::uint64_t Seed, bool IsTraced)
       : Family(Family), Random(Seed),
         Simulation(makeInit(Family, Seed, IsTraced)),
-        Favourite(Random() % Family.Hosts) {}
+        Callers(Simulation, Random, Family.Hosts, Family.JobsPerLongJob) {}
 
   /// @returns what was broken, one per line, each with the rule's name first
   std::string run() {
@@ -135,7 +134,7 @@
       Events.erase(Events.begin());
       Action();
     }
-    updateCallers();
+    Callers.update();
     boot_time Next = std::min(End, Simulation.now() + MaxStepTime);
     if (!Events.empty()) {
       Next = std::min(Next, Events.begin()->first);
@@ -148,13 +147,10 @@
   /// @returns a line if some get none
   std::string awaitCallers() {
     const boot_time End = Simulation.now() + MaxTimeToLastResponse;
-    while (Simulation.now() < End && !(Events.empty() && Callers.empty())) {
+    while (Simulation.now() < End && !(Events.empty() && Callers.areDone())) {
       runNext(End);
     }
-    return Callers.empty() ? ""
-                           : "CALLERS: " + std::to_string(Callers.size()) +
-                                 " without a response, first " +
-                                 Callers.front().Job.Id + "\n";
+    return Callers.describeOpen();
   }
 
   /// @returns a line for each rule broken by the targets while nobody submits
@@ -173,97 +169,10 @@
     return Broken;
   }
 
-  // Callers.
-
   void submitNext() {
-    if (hasEnded()) {
-      return;
-    }
-    submitTo(chooseHost(), makeJob());
-    after(between(5ms, 11ms), [this] { submitNext(); });
-  }
-
-  /// @returns the host that most callers use, or another one: a host with more
-  /// jobs than its own targets can run sends many messages
-  std::size_t chooseHost() {
-    constexpr std::uint64_t JobsPerJobElsewhere = 3;
-    return Random() % JobsPerJobElsewhere == 0 ? Random() % Family.Hosts
-                                               : Favourite;
-  }
-
-  simulated_job makeJob() {
-    constexpr std::uint64_t JobsPerLongJob = 100;
-    const bool IsLong = Random() % JobsPerLongJob == 0;
-    simulated_job Job{"j" + std::to_string(++LastJobNumber),
-                      static_cast<std::uint32_t>(1 + Random() % 4)};
-    Job.RunTime = IsLong ? between(1s, 3s) : between(20ms, 60ms);
-    return Job;
-  }
-
-  void submitTo(std::size_t Host, const simulated_job &Job) {
-    if (Simulation.isRunning(Host)) {
-      Callers.push_back(
-          {Job, Host, Simulation.submit(Host, Job), Simulation.now(), {}});
-    }
-  }
-
-  void updateCallers() {
-    for (auto Entry = Callers.begin(); Entry != Callers.end();) {
-      caller &Caller = *Entry;
-      noteBreak(Caller);
-      if (Caller.ResubmitAt && *Caller.ResubmitAt <= Simulation.now()) {
-        resubmit(Caller);
-      }
-      const bool IsDone =
-          !Caller.ResubmitAt && Simulation.responseOf(Caller.Request);
-      Entry = IsDone ? Callers.erase(Entry) : std::next(Entry);
-    }
-  }
-
-  /// Records that a caller got a 504 or that its host has died.
-  void noteBreak(caller &Caller) {
-    if (Caller.ResubmitAt) {
-      return;
-    }
-    const auto Response = Simulation.responseOf(Caller.Request);
-    const boot_time EndedAt = Simulation.endedAt(Caller.Host);
-    if (Response == response_kind::JobAbandoned) {
-      Caller.ResubmitAt = Caller.SubmittedAt +
-                          Simulation.responseTime(Caller.Request) +
-                          ResubmitDelay;
-    } else if (!Response && EndedAt >= Caller.SubmittedAt) {
-      Caller.ResubmitAt = EndedAt + ResubmitDelay;
-    }
-  }
-
-  void resubmit(caller &Caller) {
-    const std::size_t Host =
-        (Caller.Host + 1 + Random() % (Family.Hosts - 1)) % Family.Hosts;
-    if (!Simulation.isRunning(Host)) {
-      Caller.ResubmitAt = Simulation.now() + RetryDelay;
-      return;
-    }
-    Caller.Host = Host;
-    Caller.Request = Simulation.submit(Host, Caller.Job);
-    Caller.SubmittedAt = Simulation.now();
-    Caller.ResubmitAt.reset();
-  }
-
-  /// Some callers disconnect, to submit their jobs elsewhere.
-  void leave() {
-    constexpr std::size_t MaxLeaving = 4;
-    std::vector<caller *> Open;
-    for (caller &Caller : Callers) {
-      noteBreak(Caller);
-      if (!Caller.ResubmitAt && !Simulation.responseOf(Caller.Request)) {
-        Open.push_back(&Caller);
-      }
-    }
-    std::shuffle(Open.begin(), Open.end(), Random);
-    Open.resize(std::min(Open.size(), 1 + Random() % MaxLeaving));
-    for (caller *Caller : Open) {
-      Simulation.disconnect(Caller->Host, Caller->Request);
-      Caller->ResubmitAt = Simulation.now() + ResubmitDelay;
+    if (!hasEnded()) {
+      Callers.submitNew();
+      after(between(5ms, 11ms), [this] { submitNext(); });
     }
   }
 
@@ -323,17 +232,25 @@
     case disruption::IsolateTogether:
       return isolate(chooseIdleHosts(), true);
     case disruption::CutOneWay:
-      return cutOneWay(Random() % Family.Hosts);
+      return cutOneWay(Random() % Family.Hosts, MinCutTime, MaxCutTime);
     case disruption::CutOneWayUnregistered:
       return cutOneWayUnregistered(Random() % Family.Hosts);
     case disruption::Pause:
       return pause(Random() % Family.Hosts);
     case disruption::Kill:
-      return kill(Random() % Family.Hosts);
+      return kill(Random() % Family.Hosts, 500ms, 8s);
     case disruption::Leave:
-      return leave();
+      return Callers.leave();
     case disruption::SlowDown:
       return slowDown();
+    case disruption::CutBriefly:
+      return cutOneWay(Random() % Family.Hosts, MinBriefCut, MaxBriefCut);
+    case disruption::Restart:
+      return terminate(Random() % Family.Hosts);
+    case disruption::RestartWithoutStore:
+      return restartWithoutStore(Random() % Family.Hosts);
+    case disruption::StepClock:
+      return Simulation.stepClock(Random() % Family.Hosts, ClockStep);
     }
   }
 
@@ -343,7 +260,7 @@
     std::set<std::size_t> Chosen;
     for (std::uint64_t Count = 1 + Random() % MaxIsolated; Count > 0; --Count) {
       const std::size_t Host =
-          Random() % 2 == 0 ? Favourite : Random() % Family.Hosts;
+          Random() % 2 == 0 ? Callers.favourite() : Random() % Family.Hosts;
       if (hasStore(Host)) {
         Chosen.insert(Host);
       }
@@ -384,14 +301,14 @@
     return Pairs;
   }
 
-  void cutOneWay(std::size_t Host) {
+  void cutOneWay(std::size_t Host, milliseconds MinTime, milliseconds MaxTime) {
     directed_pairs Pairs;
     for (std::size_t Other = 0; Other < Family.Hosts; ++Other) {
       if (Other != Host && Random() % 2 == 0) {
         Pairs.emplace(Host, Other);
       }
     }
-    cut(Pairs, {}, between(MinCutTime, MaxCutTime));
+    cut(Pairs, {}, between(MinTime, MaxTime));
   }
 
   void cutOneWayUnregistered(std::size_t Host) {
@@ -449,17 +366,57 @@
     });
   }
 
-  void kill(std::size_t Host) {
+  void kill(std::size_t Host, milliseconds MinDownTime,
+            milliseconds MaxDownTime) {
     if (!Simulation.isRunning(Host)) {
       return;
     }
     Simulation.kill(Host);
     loseStore(Host);
-    after(between(500ms, 8s), [this, Host] { restart(Host); });
+    after(between(MinDownTime, MaxDownTime), [this, Host] { restart(Host); });
+  }
+
+  /// Stops a host gracefully, and restarts it.
+  void terminate(std::size_t Host) {
+    if (!hasStore(Host)) {
+      return;
+    }
+    const milliseconds Allowed = between(100ms, 1s);
+    Simulation.terminate(Host, Allowed);
+    after(Allowed, [this, Host] {
+      if (Simulation.isRunning(Host)) {
+        Simulation.kill(Host); // else it has ended by itself
+      }
+      loseStore(Host);
+      after(between(20ms, 500ms), [this, Host] { restart(Host); });
+    });
+  }
+
+  /// Kills a host, which restarts while it doesn't reach the store.
+  void restartWithoutStore(std::size_t Host) {
+    if (!hasStore(Host)) {
+      return;
+    }
+    Simulation.kill(Host);
+    WithoutStore.insert(Host);
+    loseStore(Host);
+    after(between(100ms, 2s), [this, Host] {
+      if (!Simulation.isRunning(Host)) {
+        Simulation.restartWithoutStore(Host);
+      }
+    });
+    after(between(3s, 8s), [this, Host] {
+      WithoutStore.erase(Host);
+      Simulation.deliverSnapshot(Host);
+      regainStore(Host);
+    });
   }
 
   /// Restarts a host once it reaches the store.
   void restart(std::size_t Host) {
+    if (Simulation.isRunning(Host)) {
+      return;
+    }
     if (WithoutStore.contains(Host)) {
       after(RetryDelay, [this, Host] { restart(Host); });
       return;
@@ -501,10 +458,8 @@
   walk_family Family;
   std::mt19937_64 Random;
   pool_simulation Simulation;
-  std::size_t Favourite; ///< the host that most callers use
+  walk_callers Callers;
   boot_time WalkEnd;
-  std::uint64_t LastJobNumber = 0;
-  std::list<caller> Callers; ///< without a final response
   std::multimap<boot_time, std::function<void()>> Events;
   std::map<std::pair<std::size_t, std::size_t>, int> CutCounts;
   std::set<std::size_t> Isolated;     ///< at any time before
@@ -550,6 +505,17 @@
        1,
        8,
        {{Kill, 4s}, {Isolate, 9s}, {Leave, 200ms}, {SlowDown, 8s}}},
+      {"restarts",
+       4,
+       1,
+       12,
+       {{CutBriefly, 400ms},
+        {Restart, 2s},
+        {RestartWithoutStore, 15s},
+        {StepClock, 10s},
+        {Leave, 100ms}},
+       0.03,
+       10},
       {"all",
        6,
        2,
