Leave room for due messages beside repeated ones

What callers would see: messages between two hosts wait for as long as more than 32 KB of reassignments are unacknowledged.

Cause: added all unacknowledged reassignments to each datagram before anything else; so did with cancellations.

Change: repeated messages have 16 KB of their own; urgent messages that are due go before the others that are due.

Why it works: a message that is due never waits for one that is only repeated.

--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -11,6 +11,18 @@
 /// Messages that one datagram acknowledges selectively, at most.
 constexpr std::size_t MaxSelectiveAcks = 200;
 
+/// Estimated size of the messages that are repeated before they are due, at
+/// most. They leave the room for those that are due as it is.
+constexpr std::size_t MaxRepeatedBytes = 16U << 10U;
+
+/// @returns whether a message has to be in each datagram, since contact without
+/// it keeps leases that it ends
+bool isUrgent(const peer_message &Message, bool RepeatsCancellations) {
+  return std::holds_alternative<attempts_reassigned>(Message) ||
+         (RepeatsCancellations &&
+          std::holds_alternative<tasks_cancelled>(Message));
+}
+
 /// Removes cancelled tasks from an offer.
 void removeCancelled(task_offer &Offer, const tasks_cancelled &Cancelled) {
   std::erase_if(Offer.Tasks, [&](const offered_task &Task) {
@@ -67,32 +79,37 @@
   if (PeerEpoch == 0) {
     return 0;
   }
-  std::size_t Bytes = 0;
   std::size_t Retransmitted = 0;
   const auto Add = [&](std::uint64_t Number, unacked_message &Pending) {
-    const std::size_t Size = estimatedSize(Pending.Message);
-    if (Bytes > 0 && Bytes + Size > config::MaxDatagramBytes) {
-      return false;
-    }
-    Bytes += Size;
     Retransmitted += Pending.WasSent ? 1 : 0;
     Pending.markSent(Now);
     Datagram.Messages.push_back({Number, Pending.Message});
-    return true;
   };
+  std::size_t RepeatedBytes = 0;
   for (auto &[Number, Pending] : Unacked) {
-    const bool IsRepeated =
-        std::holds_alternative<attempts_reassigned>(Pending.Message) ||
-        (RepeatsCancellations &&
-         std::holds_alternative<tasks_cancelled>(Pending.Message));
-    if (IsRepeated && !Add(Number, Pending)) {
-      return Retransmitted;
+    if (Pending.DueAt <= Now ||
+        !isUrgent(Pending.Message, RepeatsCancellations)) {
+      continue;
     }
+    RepeatedBytes += estimatedSize(Pending.Message);
+    if (RepeatedBytes > MaxRepeatedBytes) {
+      break;
+    }
+    Add(Number, Pending);
   }
-  for (auto &[Number, Pending] : Unacked) {
-    // What was just added is due later.
-    if (Pending.DueAt <= Now && !Add(Number, Pending)) {
-      return Retransmitted;
+  std::size_t Bytes = 0;
+  for (const bool AddsUrgent : {true, false}) {
+    for (auto &[Number, Pending] : Unacked) {
+      if (Pending.DueAt > Now ||
+          isUrgent(Pending.Message, RepeatsCancellations) != AddsUrgent) {
+        continue;
+      }
+      const std::size_t Size = estimatedSize(Pending.Message);
+      if (Bytes > 0 && Bytes + Size > config::MaxDatagramBytes) {
+        return Retransmitted;
+      }
+      Bytes += Size;
+      Add(Number, Pending);
     }
   }
   return Retransmitted;
