--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -32,11 +32,12 @@
   bool push(peer_message Message, boot_time Now);
 
   /// Adds all acknowledgements and the messages that are due: new ones and
-  /// retransmissions. Unacknowledged reassignments are always due: a peer that
-  /// confirms a state of this host has to know what this host owns.
+  /// retransmissions. Unacknowledged reassignments are repeated before they are
+  /// due, as far as they have room: a peer that confirms a state of this host
+  /// has to know what this host owns.
   ///
-  /// @param[in] RepeatsCancellations whether all unacknowledged cancellations
-  /// are due, and added first, so that whoever receives the datagram has them
+  /// @param[in] RepeatsCancellations whether cancellations are repeated, too, so
+  /// that whoever receives the datagram has them
   /// @returns number of retransmitted messages
   /// @remarks No message is due before the peer's epoch is known.
   std::size_t fill(datagram &Datagram, boot_time Now,
