--- a/src/core/pool/peer_link_p.h
+++ b/src/core/pool/peer_link_p.h
@@ -36,8 +36,8 @@
   /// due, as far as they have room: a peer that confirms a state of this host
   /// has to know what this host owns.
   ///
-  /// @param[in] RepeatsCancellations whether cancellations are repeated, too, so
-  /// that whoever receives the datagram has them
+  /// @param[in] RepeatsCancellations whether cancellations are repeated, too,
+  /// so that whoever receives the datagram has them
   /// @returns number of retransmitted messages
   /// @remarks No message is due before the peer's epoch is known.
   std::size_t fill(datagram &Datagram, boot_time Now,
