--- a/review/standins-2/cancels.cpp
+++ b/review/standins-2/cancels.cpp
@@ -13,8 +13,8 @@
   std::vector<std::string> Found;
   for (const run_entry &Run : Runs.entries()) {
     if (Run.Task.starts_with(Id) && Run.BeganAt > AckedAt + CancelMs) {
-      Found.push_back("UNASKED " + Run.Task + " starts on " + Run.Worker +
-                      " " + std::to_string(Run.BeganAt - AckedAt) +
+      Found.push_back("UNASKED " + Run.Task + " starts on " + Run.Worker + " " +
+                      std::to_string(Run.BeganAt - AckedAt) +
                       " ms after its cancelling was acknowledged");
     }
   }
@@ -23,10 +23,10 @@
 } // namespace
 
 int runCancelledDuplicate(const std::string &Folder, bool HasTrouble) {
-  deployment World({{"marmara-topkapi", 2, 4}, {"marmara-ikitelli", 2, 4}},
-                   Folder);
+  deployment &World = *new deployment(
+      {{"marmara-topkapi", 2, 4}, {"marmara-ikitelli", 2, 4}}, Folder);
   if (!World.start()) {
-    return CouldNotRun;
+    return giveUp(World);
   }
   deployment::host &Host = World.hostOf("marmara-topkapi");
   const job Job{jobId(1), 2, 6'800, 3'000, 10'000};
@@ -45,10 +45,10 @@
 }
 
 int runCancelElsewhere(const std::string &Folder, bool HasTrouble) {
-  deployment World({{"marmara-topkapi", 2, 4}, {"marmara-ikitelli", 2, 4}},
-                   Folder);
+  deployment &World = *new deployment(
+      {{"marmara-topkapi", 2, 4}, {"marmara-ikitelli", 2, 4}}, Folder);
   if (!World.start()) {
-    return CouldNotRun;
+    return giveUp(World);
   }
   deployment::host &Host = World.hostOf("marmara-topkapi", 0);
   deployment::host &Other = World.hostOf("marmara-topkapi", 1);
--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -1,4 +1,5 @@
-/// The cases. Each returns the exit status of its script.
+/// The cases. Each returns the exit status of its script. The stand-ins live
+/// until the process ends: their threads use them until then.
 #pragma once
 
 #include "rules.h"
@@ -15,9 +16,16 @@
     World.log().line("BROKEN " + Line);
   }
   World.log().line(Broken.empty() ? "the rule held" : "the rule was broken");
+  World.end();
   return Broken.empty() ? RuleHeld : RuleBroken;
 }
 
+/// @returns the exit status where the deployment could not be started
+inline int giveUp(deployment &World) {
+  World.end();
+  return CouldNotRun;
+}
+
 int runResumedHost(const std::string &Folder, bool HasTrouble);
 int runClockBack(const std::string &Folder, bool HasTrouble);
 int runCancelledDuplicate(const std::string &Folder, bool HasTrouble);
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -15,7 +15,9 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(Time));
 }
 
-void sleepUntil(std::int64_t At) { sleepMs(std::max<std::int64_t>(0, At - nowMs())); }
+void sleepUntil(std::int64_t At) {
+  sleepMs(std::max<std::int64_t>(0, At - nowMs()));
+}
 
 std::string jobId(std::uint64_t Number) {
   std::string Text(16, '0');
@@ -30,15 +32,15 @@
 deployment::deployment(std::vector<zone_init> Given, const std::string &Folder)
     : Zones(std::move(Given)), Folder(Folder), Record(Folder + "/record.txt") {}
 
-deployment::~deployment() {
+void deployment::end() {
   for (host &Host : Hosts) {
     if (Host.Pid > 0) {
       kill(Host.Pid, SIGKILL);
       kill(Host.Pid, SIGCONT);
       waitpid(Host.Pid, nullptr, 0);
+      Host.Pid = -1;
     }
   }
-  Workers.clear();
   if (!Temporary.empty() && std::getenv("KEEP_LOGS") == nullptr) {
     std::filesystem::remove_all(Temporary);
   }
@@ -70,43 +72,44 @@
   for (const zone_init &Zone : Zones) {
     File << "zones." << Zone.Name << "=marmara\n";
   }
-  File << "listenAddresses.front=" << Ip << ":" << Host.FrontPort
-       << "\nlistenAddresses.ready=" << Ip << ":" << Host.ReadyPort
-       << "\nlistenAddresses.control=" << Ip << ":" << Host.ControlPort
-       << "\ninternalPortRange=" << Host.PeerPort << "," << Host.PeerPort
-       << "\nseeds=" << Seeds
-       << "\nbootstrap=true\ncountedInTolerance=false\nlimits.cpuShare=0.25\n"
-          "limits.cores=1\nlimits.memoryMb=260\nlimits.fileDescriptors=4100\n"
-          "limits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform\n"
-          "entry=virtual_ip\nheartbeatMs=1500\n"
-          "contracts=base,drain,config,cost,recover,sched,platform,advice,"
-          "upkeep,sharing\n"
-          "tolerance.machines=1\ntolerance.zones=1\ntolerance.regions=0\n"
-          "bounds.seedLagS=3\nbounds.reuseAfterS=2\nbounds.stableWindowMs=3000\n"
-          "bounds.ackMs=4000\nbounds.catchUpS=4\nbounds.drainMs=2000\n"
-          "bounds.graceS=6\nbounds.lossSlackMs=200\nbounds.configMs=2000\n"
-          "bounds.rollbackSlackMs=250\nbounds.maxStretchMs=5000\n"
-          "bounds.recoveryS=12\nbounds.holdMaxMs=1000\nbounds.stopMs=50\n"
-          "bounds.gangMs=3000\nbounds.cancel_ms=3000\nbounds.visible_ms=3000\n"
-          "bounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\n"
-          "bounds.farFactor=2\nbounds.checkpointS=0.5\nbounds.restoreMs=600\n"
-          "bounds.noticeMs=4500\nbounds.moveS=1.5\nbounds.upkeepS=2\n"
-          "bounds.fencingRequired=true\nbounds.leaseMs=3000\nbounds.thawMs=300\n"
-          "bounds.paceMs=100\nbounds.harmMs=4000\nbounds.resendMs=1300\n"
-          "orders=invocation\nadvice=127.0.0.1:9\n"
-       << "platform.address=" << Ip << ":" << Store.port()
-       << "\nplatform.form=kv\nplatform.writesPerS=400\nplatform.readsPerS=2000\n"
-          "platform.historyS=20\nplatform.valueBytes=1048576\n"
-          "platform.ttlMinMs=1000\ncloud.address=127.0.0.1:9\n"
-          "cloud.ratePerS=60.0\ncloud.duties=\ncloud.dutyPerS=60.0\n";
+  File
+      << "listenAddresses.front=" << Ip << ":" << Host.FrontPort
+      << "\nlistenAddresses.ready=" << Ip << ":" << Host.ReadyPort
+      << "\nlistenAddresses.control=" << Ip << ":" << Host.ControlPort
+      << "\ninternalPortRange=" << Host.PeerPort << "," << Host.PeerPort
+      << "\nseeds=" << Seeds
+      << "\nbootstrap=true\ncountedInTolerance=false\nlimits.cpuShare=0.25\n"
+         "limits.cores=1\nlimits.memoryMb=260\nlimits.fileDescriptors=4100\n"
+         "limits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform\n"
+         "entry=virtual_ip\nheartbeatMs=1500\n"
+         "contracts=base,drain,config,cost,recover,sched,platform,advice,"
+         "upkeep,sharing\n"
+         "tolerance.machines=1\ntolerance.zones=1\ntolerance.regions=0\n"
+         "bounds.seedLagS=3\nbounds.reuseAfterS=2\nbounds.stableWindowMs=3000\n"
+         "bounds.ackMs=4000\nbounds.catchUpS=4\nbounds.drainMs=2000\n"
+         "bounds.graceS=6\nbounds.lossSlackMs=200\nbounds.configMs=2000\n"
+         "bounds.rollbackSlackMs=250\nbounds.maxStretchMs=5000\n"
+         "bounds.recoveryS=12\nbounds.holdMaxMs=1000\nbounds.stopMs=50\n"
+         "bounds.gangMs=3000\nbounds.cancel_ms=3000\nbounds.visible_ms=3000\n"
+         "bounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\n"
+         "bounds.farFactor=2\nbounds.checkpointS=0.5\nbounds.restoreMs=600\n"
+         "bounds.noticeMs=4500\nbounds.moveS=1.5\nbounds.upkeepS=2\n"
+         "bounds.fencingRequired=true\nbounds.leaseMs=3000\nbounds.thawMs=300\n"
+         "bounds.paceMs=100\nbounds.harmMs=4000\nbounds.resendMs=1300\n"
+         "orders=invocation\nadvice=127.0.0.1:9\n"
+      << "platform.address=" << Ip << ":" << Store.port()
+      << "\nplatform.form=kv\nplatform.writesPerS=400\nplatform.readsPerS="
+         "2000\n"
+         "platform.historyS=20\nplatform.valueBytes=1048576\n"
+         "platform.ttlMinMs=1000\ncloud.address=127.0.0.1:9\n"
+         "cloud.ratePerS=60.0\ncloud.duties=\ncloud.dutyPerS=60.0\n";
 }
 
 void deployment::launch(host &Host) {
   const std::string LogPath = Temporary + "/" + Host.Name + ".log";
   const pid_t Pid = fork();
   if (Pid == 0) {
-    const int Log =
-        open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int Log = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(Log, STDOUT_FILENO);
     dup2(Log, STDERR_FILENO);
     setenv("TARRAGONBRIDGE_BOOT", Host.SettingsPath.c_str(), 1);
@@ -141,32 +144,31 @@
   if (!Store.start()) {
     return false;
   }
-  Store.put("op/config",
-            json::serialize(json::object{
-                {"version", 7},
-                {"routes",
-                 json::array{json::object{{"name", Route.Name},
-                                          {"host", Route.HostName},
-                                          {"prefix", Route.Prefix},
-                                          {"kind", "unsafe"},
-                                          {"timeoutMs", 30'000},
-                                          {"targetDurationMs", 60},
-                                          {"priority", Route.Priority},
-                                          {"service", Service},
-                                          {"maxAttempts", 3},
-                                          {"stretch", 1.6}}}},
-                {"services",
-                 json::array{json::object{{"name", Service},
-                                          {"healthPath", "/health"},
-                                          {"connectionLimit", 64},
-                                          {"protocol", "h1"},
-                                          {"tls", false},
-                                          {"admissionCheck", false},
-                                          {"spare", false}}}},
-                {"limits", json::object{{"maxHeaderBytes", 16'384},
-                                        {"maxBodyBytes", 262'144},
-                                        {"headerTimeoutMs", 3'000},
-                                        {"idleTimeoutMs", 15'000}}}}));
+  Store.put(
+      "op/config",
+      json::serialize(json::object{
+          {"version", 7},
+          {"routes", json::array{json::object{{"name", Route.Name},
+                                              {"host", Route.HostName},
+                                              {"prefix", Route.Prefix},
+                                              {"kind", "unsafe"},
+                                              {"timeoutMs", 30'000},
+                                              {"targetDurationMs", 60},
+                                              {"priority", Route.Priority},
+                                              {"service", Service},
+                                              {"maxAttempts", 3},
+                                              {"stretch", 1.6}}}},
+          {"services", json::array{json::object{{"name", Service},
+                                                {"healthPath", "/health"},
+                                                {"connectionLimit", 64},
+                                                {"protocol", "h1"},
+                                                {"tls", false},
+                                                {"admissionCheck", false},
+                                                {"spare", false}}}},
+          {"limits", json::object{{"maxHeaderBytes", 16'384},
+                                  {"maxBodyBytes", 262'144},
+                                  {"headerTimeoutMs", 3'000},
+                                  {"idleTimeoutMs", 15'000}}}}));
   int Number = 0;
   for (const zone_init &Zone : Zones) {
     for (int Index = 0; Index < Zone.Workers; ++Index) {
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -27,8 +27,8 @@
 public:
   /// @param[in] Folder where the record is written
   deployment(std::vector<zone_init> Zones, const std::string &Folder);
-  /// Ends all processes that it started.
-  ~deployment();
+  /// Ends all processes that it started, and removes its temporary folder.
+  void end();
 
   /// Starts everything, and waits until all hosts are ready.
   /// @returns false if they don't become ready
--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -32,7 +32,8 @@
   std::string Plain;
   for (std::size_t Index = 0; Index < Text.size(); ++Index) {
     if (Text[Index] == '%' && Index + 2 < Text.size()) {
-      Plain += static_cast<char>(std::stoi(Text.substr(Index + 1, 2), nullptr, 16));
+      Plain +=
+          static_cast<char>(std::stoi(Text.substr(Index + 1, 2), nullptr, 16));
       Index += 2;
     } else {
       Plain += Text[Index];
@@ -248,19 +249,23 @@
 }
 
 int freePort() {
-  for (int Try = 0; Try < 100; ++Try) {
-    const int Tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int Udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Address = loopback(0);
-    socklen_t Size = sizeof(Address);
-    bind(Tcp, reinterpret_cast<sockaddr *>(&Address), Size);
-    getsockname(Tcp, reinterpret_cast<sockaddr *>(&Address), &Size);
-    const bool IsFree =
-        bind(Udp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
-    ::close(Tcp);
-    ::close(Udp);
+  // Below the ports that the system gives to outgoing connections.
+  constexpr int First = 18'000;
+  constexpr int Count = 14'000;
+  static int Next = static_cast<int>(getpid()) * 61 % Count;
+  for (int Try = 0; Try < Count; ++Try) {
+    Next = (Next + 1) % Count;
+    const sockaddr_in Address = loopback(First + Next);
+    bool IsFree = true;
+    for (const int Kind : {SOCK_STREAM, SOCK_DGRAM}) {
+      const int Fd = socket(AF_INET, Kind | SOCK_CLOEXEC, 0);
+      IsFree = bind(Fd, reinterpret_cast<const sockaddr *>(&Address),
+                    sizeof(Address)) == 0 &&
+               IsFree;
+      ::close(Fd);
+    }
     if (IsFree) {
-      return ntohs(Address.sin_port);
+      return First + Next;
     }
   }
   return 0;
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -75,7 +75,8 @@
             std::string *ResponseBody = nullptr,
             const std::map<std::string, std::string> &Headers = {});
 
-/// @returns ports of 127.0.0.1 that are free for TCP and UDP
+/// @returns a port of 127.0.0.1 that is free for TCP and UDP, another one with
+/// each call
 int freePort();
 
 } // namespace standin
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -22,6 +22,8 @@
       {"cancelled-duplicate", runCancelledDuplicate},
       {"cancel-elsewhere", runCancelElsewhere}};
   const auto Found = Cases.find(Values[1]);
-  return Found == Cases.end() ? CouldNotRun
-                              : Found->second(Values[2], HasTrouble);
+  if (Found == Cases.end()) {
+    return CouldNotRun;
+  }
+  std::_Exit(Found->second(Values[2], HasTrouble));
 }
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -16,9 +16,10 @@
   for (std::size_t At = 0; At < Bytes.size(); At += 3) {
     std::uint32_t Group = 0;
     for (std::size_t Index = 0; Index < 3; ++Index) {
-      Group = (Group << 8U) | (At + Index < Bytes.size()
-                                   ? static_cast<unsigned char>(Bytes[At + Index])
-                                   : 0U);
+      Group =
+          (Group << 8U) | (At + Index < Bytes.size()
+                               ? static_cast<unsigned char>(Bytes[At + Index])
+                               : 0U);
     }
     for (int Digit = 0; Digit < 4; ++Digit) {
       const bool IsPadding =
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -13,7 +13,7 @@
 public:
   store();
   ~store();
-  bool start() { return Server.start(0); }
+  bool start() { return Server.start(freePort()); }
   int port() const { return Server.port(); }
 
   /// Writes an item as the operator or a worker does.
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -53,16 +53,6 @@
   Worker = std::thread([this] { work(); });
 }
 
-worker::~worker() {
-  crash();
-  {
-    const std::lock_guard Lock(Mutex);
-    IsDestroyed = true;
-  }
-  Ended.notify_all();
-  Worker.join();
-}
-
 void worker::begin(std::int64_t ClockAheadMs) {
   using namespace std::chrono;
   {
@@ -73,6 +63,7 @@
                .count() +
            ClockAheadMs;
     Sequence = 0;
+    Holds = 0;
     Token = 0;
     Deadline = 0;
     LastNumber = 0;
@@ -84,6 +75,9 @@
     Server = std::make_unique<http_server>(
         [this](const http_message &Message) { return handle(Message); });
   }
+  if (Port == 0) {
+    Port = freePort();
+  }
   while (!Server->start(Port)) {
     std::this_thread::sleep_for(milliseconds(5));
   }
@@ -128,37 +122,27 @@
   Record.line("worker " + Init.Id + " reports draining, the store accepted it");
 }
 
-bool worker::isIdle() {
-  const std::lock_guard Lock(Mutex);
-  return IsUp && Running.empty();
-}
-
-std::int64_t worker::idleForMs() {
-  const std::lock_guard Lock(Mutex);
-  return Running.empty() ? nowMs() - LastTaskAt : 0;
-}
-
-std::int64_t worker::heldAt() {
+std::int64_t worker::holds() {
   const std::lock_guard Lock(Mutex);
-  return LastHoldAt;
+  return Holds;
 }
 
 void worker::publish() {
   PublishedAt = nowMs();
-  json::object Item{{"service", Init.Service},
-                    {"address", "127.0.0.1:" + std::to_string(Port)},
-                    {"zone", Init.Zone},
-                    {"version", "v1"},
-                    {"slots", 8},
-                    {"state", IsDraining ? "draining" : "ready"},
-                    {"coldMs", 0},
-                    {"capacity", json::object{{"cpu", Init.Cpu},
-                                              {"memMb", Init.MemMb},
-                                              {"gpu", 0}}},
-                    {"labels", json::array{Init.Kind, Init.Rack}},
-                    {"clockMs", clock()},
-                    {"sequence", ++Sequence},
-                    {"born", Born}};
+  json::object Item{
+      {"service", Init.Service},
+      {"address", "127.0.0.1:" + std::to_string(Port)},
+      {"zone", Init.Zone},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", IsDraining ? "draining" : "ready"},
+      {"coldMs", 0},
+      {"capacity",
+       json::object{{"cpu", Init.Cpu}, {"memMb", Init.MemMb}, {"gpu", 0}}},
+      {"labels", json::array{Init.Kind, Init.Rack}},
+      {"clockMs", clock()},
+      {"sequence", ++Sequence},
+      {"born", Born}};
   if (IsDraining) {
     Item["remainingMs"] = 2'000;
   }
@@ -171,7 +155,6 @@
   std::int64_t &Highest = HighestEnded[Task.Task];
   Highest = std::max(Highest, Task.Run);
   Ends.push_back({++LastNumber, Task.Task, Task.Run, How});
-  LastTaskAt = nowMs();
   Runs.end(Task.LogIndex, How);
   Record.line(Init.Id + " ended " + Task.Task + " run " +
               std::to_string(Task.Run) + " " + How);
@@ -195,7 +178,7 @@
 
 void worker::work() {
   std::unique_lock Lock(Mutex);
-  while (!IsDestroyed) {
+  while (true) {
     if (IsUp) {
       advance();
       if (nowMs() - PublishedAt >= HeartbeatMs) {
@@ -280,11 +263,10 @@
   const std::int64_t Now = nowMs();
   const std::size_t LogIndex =
       Runs.begin({Init.Id, Task, Run, Cpu, Now, 0, ""});
-  Running.push_back({Task, Run,
-                     Now + static_cast<std::int64_t>(
-                               static_cast<double>(Work) / Init.Speed),
-                     0, LogIndex});
-  LastTaskAt = Now;
+  Running.push_back(
+      {Task, Run,
+       Now + static_cast<std::int64_t>(static_cast<double>(Work) / Init.Speed),
+       0, LogIndex});
   Record.line(Init.Id + " starts " + Task + " run " + std::to_string(Run) +
               " (" + Specification + ")");
   return accept();
@@ -318,16 +300,15 @@
     return {0, ""};
   }
   advance();
-  LastHoldAt = nowMs();
+  ++Holds;
   if (isFenced(Message)) {
     return refuse("fence");
   }
   if (Body.as_object().contains("deadlineMs")) {
     prolong(numberOf(Body, "deadlineMs"));
   }
-  std::erase_if(Ends, [&](const ended_task &End) {
-    return End.Number <= LastSeen;
-  });
+  std::erase_if(Ends,
+                [&](const ended_task &End) { return End.Number <= LastSeen; });
   const std::int64_t Until = nowMs() + numberOf(Body, "waitMs");
   const std::int64_t OwnLife = Life;
   while (Ends.empty() && nowMs() < Until && IsUp && Life == OwnLife) {
@@ -342,8 +323,7 @@
   }
   json::array EndRows;
   for (const ended_task &End : Ends) {
-    EndRows.push_back(
-        json::array{End.Number, End.Task, End.Run, End.How, ""});
+    EndRows.push_back(json::array{End.Number, End.Task, End.Run, End.How, ""});
   }
   return {200, json::serialize(json::object{{"clockMs", clock()},
                                             {"running", RunningRows},
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -1,6 +1,6 @@
-/// A worker: runs tasks under a lease as the platform's pages say, notes what it
-/// ran in the record, and lists itself in the store. A crash ends all that runs;
-/// a restart under the same id knows nothing of before.
+/// A worker: runs tasks under a lease as the platform's pages say, notes what
+/// it ran in the record, and lists itself in the store. A crash ends all that
+/// runs; a restart under the same id knows nothing of before.
 #pragma once
 
 #include "record.h"
@@ -49,7 +49,6 @@
 class worker {
 public:
   worker(worker_init Init, store &Store, run_log &Runs, record &Record);
-  ~worker();
 
   /// Begins a life: serves, and lists the worker.
   /// @param[in] ClockAheadMs by how much its time of day is ahead of the true
@@ -64,17 +63,14 @@
   void drain();
 
   const std::string &id() const { return Init.Id; }
-  /// @returns milliseconds since the last hold without a task, or the last task
-  std::int64_t idleForMs();
-  std::int64_t heldAt();
-  bool isIdle();
-  std::int64_t cpu() const { return Init.Cpu; }
+  /// @returns how often it was held in its life
+  std::int64_t holds();
 
 private:
   struct running_task {
     std::string Task;
     std::int64_t Run = 0;
-    std::int64_t EndsAt = 0; ///< done then, of the record's clock
+    std::int64_t EndsAt = 0;  ///< done then, of the record's clock
     std::int64_t StopsAt = 0; ///< 0: no stop was ordered
     std::size_t LogIndex = 0;
   };
@@ -107,7 +103,6 @@
   std::condition_variable Ended;
   bool IsUp = false;
   bool IsDraining = false;
-  bool IsDestroyed = false;
   std::int64_t Life = 0;
   std::int64_t LifeBeganAt = 0;
   std::int64_t Born = 0;
@@ -116,8 +111,7 @@
   std::uint64_t Token = 0;
   std::int64_t Deadline = 0; ///< of the lease, on the worker's clock
   std::int64_t LastNumber = 0;
-  std::int64_t LastHoldAt = 0;
-  std::int64_t LastTaskAt = 0;
+  std::int64_t Holds = 0;
   std::vector<running_task> Running;
   std::vector<ended_task> Ends;
   std::map<std::string, std::int64_t> HighestEnded;
