Withdraw jobs whose callers may have left during a pause

A host that is alone in its failure domain stands still for 2 s; callers leave and are served elsewhere; the host wakes and starts their tasks again, beside the runs of the resubmissions.

Cause: when the host wakes, the first event fires its timers: the leases are over, so the tasks count as lost and are placed again in the same event, before the closed connections are read. The host takes itself to be alive at all times (lastAliveAt, isOrphan), while its peers give its tasks up after 0.8 s of silence.

Change: the reducer notes when it handled its latest event. After a pause, jobs of which nothing was read for CoordinatorTimeout are withdrawn before the event: their tasks are cancelled, here and in undelivered offers, and not placed again.

Why it works: no start of such a job is sent after the pause, whatever arrives first; what still runs is stopped. The bound is the one that the peers use.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -123,6 +123,16 @@
 /// it; the next owner's term starts this far above.
 constexpr std::uint64_t TermMargin = 8;
 
+// Pauses of this process.
+/// A process that handled no event for this long stood still: its timers fire
+/// at least each AssignmentInterval.
+constexpr milliseconds PauseThreshold{250};
+/// Departures of callers during a pause are noticed within this time after it.
+constexpr milliseconds CallerCheckTime{100};
+/// A withdrawn job waits this long for outcomes of its tasks that are already
+/// on their way.
+constexpr milliseconds WithdrawnJobTime{400};
+
 // Tasks that crash their targets.
 /// A job is given up once this many targets have crashed under one of its
 /// tasks.
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -72,6 +72,7 @@
   GivenUpLate,
   GivenUpAttempts,
   GivenUpCrashes, ///< targets crashed under a task of the job
+  GivenUpPaused,  ///< this process stood still while the job was open
   CallersLeft,
   TasksOffered,
   OffersRefused,
@@ -99,6 +100,7 @@
   OrphansDropped,  ///< queued tasks whose coordinator timed out
   TargetsSetAside, ///< quarantined for failing tasks of several jobs
   MessagesDropped, ///< too many to their receiver were unacknowledged
+  Pauses,          ///< of this process, longer than config::PauseThreshold
   Count
 };
 std::string_view nameOf(counter Counter);
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -27,6 +27,11 @@
 /// without success.
 void rescheduleTask(reducer_context &Ctx, open_job &Job, job_task &Task) {
   Task.Phase = task_phase::Unplaced;
+  if (Job.IsWithdrawn) {
+    Ctx.count(counter::GivenUpPaused);
+    abandonJob(Ctx, std::string(Job.Id), "paused");
+    return;
+  }
   pool_view View = makePoolView(Ctx.State, Ctx.Now);
   const auto Placement =
       placeTask(View, {Job.Route.Service, Task.RequiredResources,
@@ -217,8 +222,8 @@
     job_task *Task = Found == Ctx.State.Coordinator.Jobs.end()
                          ? nullptr
                          : findTask(Found->second, Attempt);
-    if (Task == nullptr) {
-      // The task ended while it was being reassigned.
+    if (Task == nullptr || Found->second.IsWithdrawn) {
+      // The task ended or was cancelled while it was being reassigned.
       sendMessage(Ctx, From, tasks_cancelled{{Attempt}});
       continue;
     }
@@ -247,7 +252,7 @@
   std::vector<std::pair<std::string, std::string_view>> Ended;
   for (const auto &[Id, Job] : State.Coordinator.Jobs) {
     if (Job.ExpiresAt <= Ctx.Now) {
-      Ended.emplace_back(Id, "too_late");
+      Ended.emplace_back(Id, Job.IsWithdrawn ? "paused" : "too_late");
       continue;
     }
     const bool IsOwnerLost = std::any_of(
@@ -261,12 +266,35 @@
     }
   }
   for (const auto &[Id, Reason] : Ended) {
-    Ctx.count(counter::GivenUpLate);
+    const bool IsWithdrawn =
+        State.Coordinator.Jobs.find(Id)->second.IsWithdrawn;
+    Ctx.count(IsWithdrawn ? counter::GivenUpPaused : counter::GivenUpLate);
     failJob(Ctx, Id, response_kind::JobAbandoned, Reason,
             describeOwners(State.Coordinator.Jobs.find(Id)->second));
   }
 }
 
+void withdrawJobs(reducer_context &Ctx, boot_time CallersKnownAt) {
+  pool_state &State = Ctx.State;
+  std::vector<std::string> Unplaced;
+  for (auto &[Id, Job] : State.Coordinator.Jobs) {
+    const boot_time KnownAt = std::max(Job.SubmittedAt, CallersKnownAt);
+    if (Job.IsWithdrawn || KnownAt + config::CoordinatorTimeout > Ctx.Now) {
+      continue;
+    }
+    Job.IsWithdrawn = true;
+    Job.ExpiresAt = Ctx.Now + config::WithdrawnJobTime;
+    cancelOfferedTasks(Ctx, Job);
+    if (Job.AwaitsOwner) {
+      Unplaced.push_back(Id);
+    }
+  }
+  for (const std::string &Id : Unplaced) {
+    Ctx.count(counter::GivenUpPaused);
+    abandonJob(Ctx, Id, "paused");
+  }
+}
+
 void abandonAllJobs(reducer_context &Ctx) {
   while (!Ctx.State.Coordinator.Jobs.empty()) {
     const std::string Id = Ctx.State.Coordinator.Jobs.begin()->first;
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -57,11 +57,7 @@
   return std::to_string(Time.count());
 }
 
-void finishJob(reducer_context &Ctx, const std::string &Id, response_kind Kind,
-               milliseconds RetryAfter) {
-  coordinator_state &Coordinator = Ctx.State.Coordinator;
-  const auto Found = Coordinator.Jobs.find(Id);
-  open_job &Job = Found->second;
+void cancelOfferedTasks(reducer_context &Ctx, const open_job &Job) {
   std::map<std::string, tasks_cancelled> Cancelled;
   for (const job_task &Task : Job.Tasks) {
     if (Task.Phase == task_phase::Offered) {
@@ -71,6 +67,14 @@
   for (auto &[Host, Cancellation] : Cancelled) {
     sendMessage(Ctx, hostRefOf(Ctx.State, Host), std::move(Cancellation));
   }
+}
+
+void finishJob(reducer_context &Ctx, const std::string &Id, response_kind Kind,
+               milliseconds RetryAfter) {
+  coordinator_state &Coordinator = Ctx.State.Coordinator;
+  const auto Found = Coordinator.Jobs.find(Id);
+  open_job &Job = Found->second;
+  cancelOfferedTasks(Ctx, Job);
   for (const request_handle Request : Job.Requests) {
     Coordinator.JobIdByRequest.erase(static_cast<std::uint64_t>(Request));
     Ctx.Effects.emplace_back(respond_to_caller{Request, Kind, RetryAfter, 0,
--- a/src/core/pool/job_completion_p.h
+++ b/src/core/pool/job_completion_p.h
@@ -6,6 +6,8 @@
 namespace tarragonbridge::pool {
 
 std::string millisecondsText(milliseconds Time);
+/// Sends cancellations of the tasks of a job that are offered.
+void cancelOfferedTasks(reducer_context &Ctx, const open_job &Job);
 /// Ends a job: cancels its offered tasks, responds to its callers and removes
 /// it. A record of it is kept for resubmissions.
 void finishJob(reducer_context &Ctx, const std::string &Id, response_kind Kind,
--- /dev/null
+++ b/src/core/pool/pauses.cpp
@@ -0,0 +1,32 @@
+#include "core/pool/pauses_p.h"
+
+#include "core/pool/job_completion_p.h"
+#include "tarragonbridge/pool/config.h"
+
+namespace tarragonbridge::pool {
+
+bool notePause(reducer_context &Ctx) {
+  pause_state &Pause = Ctx.State.Pause;
+  const boot_time Last = std::exchange(Pause.LastEventAt, Ctx.Now);
+  if (Last == boot_time{} || Last + config::PauseThreshold >= Ctx.Now) {
+    return false;
+  }
+  // Between two pauses that follow each other the departures may not have been
+  // read.
+  Pause.CallersKnownAt = callersKnownAt(Ctx.State, Last);
+  Pause.CallersCheckedBy = Ctx.Now + config::CallerCheckTime;
+  Ctx.count(counter::Pauses);
+  Ctx.log("resumed",
+          {{"paused_ms", millisecondsText(until(Ctx.Now, Last))},
+           {"callers_unknown_ms",
+            millisecondsText(until(Ctx.Now, Pause.CallersKnownAt))}});
+  withdrawJobs(Ctx, Pause.CallersKnownAt);
+  return true;
+}
+
+boot_time callersKnownAt(const pool_state &State, boot_time Now) {
+  const pause_state &Pause = State.Pause;
+  return Now < Pause.CallersCheckedBy ? Pause.CallersKnownAt : Now;
+}
+
+} // namespace tarragonbridge::pool
--- /dev/null
+++ b/src/core/pool/pauses_p.h
@@ -0,0 +1,18 @@
+/// Pauses of this process: a virtual machine that is suspended, a stopped
+/// process. What was known before one may have changed without a trace when it
+/// ends.
+#pragma once
+
+#include "core/pool/state_p.h"
+
+namespace tarragonbridge::pool {
+
+/// Notes that an event is handled. If a pause precedes it, limits what is done
+/// by what was known before.
+/// @returns whether a pause precedes it
+bool notePause(reducer_context &Ctx);
+
+/// @returns the latest time up to which the departures of callers are known
+boot_time callersKnownAt(const pool_state &State, boot_time Now);
+
+} // namespace tarragonbridge::pool
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -1,6 +1,7 @@
 #include "tarragonbridge/pool/pool.h"
 
 #include "core/pool/crashes_p.h"
+#include "core/pool/pauses_p.h"
 #include "core/pool/state_p.h"
 #include "tarragonbridge/pool/config.h"
 
@@ -255,6 +256,9 @@
             std::vector<effect> &Effects) {
   reducer_context Ctx{State, Now, Effects};
   const bool CouldOwnTargets = canOwnTargets(State);
+  if (notePause(Ctx)) {
+    handleLoopbackMessages(Ctx); // cancellations, before the event
+  }
   std::visit([&](auto &Kind) { handle(Ctx, std::move(Kind)); }, Event);
   if (canOwnTargets(State) != CouldOwnTargets) {
     State.Owner.markCapacityChanged(); // peers have to know
@@ -327,6 +331,7 @@
                "given_up_late",
                "given_up_attempts",
                "given_up_crashes",
+               "given_up_paused",
                "callers_left",
                "tasks_offered",
                "offers_refused",
@@ -353,7 +358,8 @@
                "messages_resent",
                "orphans_dropped",
                "targets_set_aside",
-               "messages_dropped"};
+               "messages_dropped",
+               "pauses"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -150,6 +150,9 @@
   milliseconds PredictedEnd{}; ///< at its placement, from its submission
   bool AwaitsOwner = false;    ///< no target has an owner yet
   bool MayHaveRun = false;
+  /// Its callers may have been served elsewhere: its tasks are cancelled and
+  /// not placed again. It is done only if all outcomes are on their way.
+  bool IsWithdrawn = false;
 };
 
 struct coordinator_state {
@@ -178,6 +181,15 @@
   std::vector<std::string> Own;              ///< those of this host
 };
 
+/// What this process knows of its own pauses. Module pauses.
+struct pause_state {
+  boot_time LastEventAt; ///< of the latest event, epoch: none yet
+  /// Until CallersCheckedBy, departures of callers are known up to this time
+  /// only.
+  boot_time CallersKnownAt;
+  boot_time CallersCheckedBy;
+};
+
 struct pool_state {
   pool_init Init;
   counters Counters;
@@ -208,6 +220,7 @@
   std::map<host_ref, departed_crashes> DepartedCrashes;
   owner_state Owner;
   coordinator_state Coordinator;
+  pause_state Pause;
   std::mt19937_64 Random;
   std::uint64_t StateNumber = 0;
   boot_time StateSentAt;             ///< to neighbours
@@ -336,6 +349,9 @@
 /// Places waiting jobs, and abandons jobs that have expired or whose owners
 /// have timed out.
 void expireJobs(reducer_context &Ctx);
+/// Withdraws the jobs whose callers may have been served elsewhere, as nothing
+/// is known of their departures since a time.
+void withdrawJobs(reducer_context &Ctx, boot_time CallersKnownAt);
 /// Abandons every job before the process is killed.
 void abandonAllJobs(reducer_context &Ctx);
 boot_time nextJobTimerAt(const pool_state &State);
--- /dev/null
+++ b/tests/unit/pool_pause_test.cpp
@@ -0,0 +1,96 @@
+/// Hosts that stand still and wake: their timers are due before they have read
+/// what came meanwhile.
+#include "pool_simulation.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::pool;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr milliseconds ResubmitDelay{1'300};
+
+simulation_init worldOf(std::size_t Hosts, std::size_t Domains,
+                        std::uint64_t Seed) {
+  simulation_init Init;
+  Init.Hosts = Hosts;
+  Init.Domains = Domains;
+  Init.TargetsPerDomain = 12;
+  Init.Seed = Seed;
+  if (std::getenv("TRACE_PAUSE") != nullptr) {
+    Init.Trace = [](boot_time At, const std::string &Line) {
+      std::cout << std::chrono::duration<double>(At.time_since_epoch()).count()
+                << " " << Line << "\n";
+    };
+  }
+  return Init;
+}
+
+/// Submits jobs of a single task to a host.
+std::vector<request_handle> submitSingles(pool_simulation &World,
+                                          std::size_t Host, std::size_t Count,
+                                          milliseconds RunTime) {
+  std::vector<request_handle> Requests;
+  for (std::size_t Number = 0; Number < Count; ++Number) {
+    simulated_job Job{"j" + std::to_string(Number), 1};
+    Job.RunTime = RunTime;
+    Requests.push_back(World.submit(Host, Job));
+  }
+  return Requests;
+}
+} // namespace
+
+// Guards against TWICE: a host that is alone in its failure domain wakes and
+// starts the tasks of callers that have left and were served elsewhere.
+TEST_CASE("a resumed host starts nothing for callers that left meanwhile",
+          "[pool]") {
+  const milliseconds PauseTime = GENERATE(1'650ms, 2s, 2'400ms, 4s);
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 6));
+  CAPTURE(PauseTime.count(), Seed);
+  constexpr milliseconds LeaveAfter{300};
+  constexpr std::size_t Leaving = 3;
+  pool_simulation World(worldOf(2, 2, Seed));
+  World.settle();
+  const auto Requests = submitSingles(World, 0, 12, 3s);
+  World.runFor(400ms);
+  World.pause(0);
+  World.runFor(LeaveAfter);
+  for (std::size_t Index = 0; Index < Leaving; ++Index) {
+    World.disconnect(0, Requests[Index]);
+  }
+  World.runFor(ResubmitDelay);
+  submitSingles(World, 1, Leaving, 3s);
+  World.runFor(PauseTime - LeaveAfter - ResubmitDelay);
+  World.resumeWithTimers(0);
+  World.runFor(6s);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
+
+// Guards against TWICE: offers that a paused host hadn't delivered are repeated
+// when it wakes, and start tasks of callers that were served elsewhere.
+TEST_CASE("a resumed host repeats no offer for callers that left meanwhile",
+          "[pool]") {
+  const milliseconds PauseTime = GENERATE(1'600ms, 2s, 4s);
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 6));
+  CAPTURE(PauseTime.count(), Seed);
+  pool_simulation World(worldOf(3, 1, Seed));
+  World.settle();
+  World.partitionHosts(0, 1);
+  World.partitionHosts(0, 2);
+  simulated_job Job{"wide", 30};
+  Job.RunTime = 3s;
+  const request_handle Request = World.submit(0, Job);
+  World.runFor(5ms);
+  World.pause(0);
+  World.heal();
+  World.disconnect(0, Request);
+  World.runFor(ResubmitDelay);
+  World.submit(1, Job);
+  World.runFor(PauseTime - ResubmitDelay);
+  World.resumeWithTimers(0);
+  World.runFor(6s);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -389,6 +389,15 @@
   post(Host, timer_fired{});
 }
 
+void pool_simulation::resumeWithTimers(std::size_t Host) {
+  std::vector<event> Deferred =
+      std::exchange(Hosts[Host].DeferredEvents, {timer_fired{}});
+  resume(Host);
+  for (event &Event : Deferred) {
+    post(Host, std::move(Event));
+  }
+}
+
 void pool_simulation::partitionHosts(std::size_t A, std::size_t B) {
   trace(hostName(A), {"cut", {{"from", hostName(B)}}});
   PartitionedHosts.insert(std::minmax(A, B));
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -109,6 +109,9 @@
   /// The host handles no events until it is resumed.
   void pause(std::size_t Host);
   void resume(std::size_t Host);
+  /// The same, but its timers fire before it handles the events that came
+  /// meanwhile.
+  void resumeWithTimers(std::size_t Host);
   /// Drops messages between two hosts in both directions.
   void partitionHosts(std::size_t A, std::size_t B);
   void partitionFromTargets(std::size_t Host);
