Bound leases by when a resumed host last read of its callers

What callers would see: TWICE, if a host stands still for 0.4 to 0.8 s, callers leave meanwhile, and the targets don't answer the stops that follow.

Cause: leases end 1.28 s after the last proof that a task's host was alive. For its own jobs a host took "now" as proof as soon as it woke, and its first datagram proved the same to other owners. The limit of 1 s after a stop counted from the news of the departure, not from the departure.

Change: for CallerCheckTime after a pause departures count as known up to the pause only: that bounds own leases, and datagrams acknowledge nothing received later. The limit after a stop is at most that of the last proof.

Why it works: whatever a caller did during the pause, each lease on its tasks has expired 1.28 s after the pause began, and it submits again after 1.3 s at the earliest.

--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -1,5 +1,6 @@
 // Datagrams between hosts: states, sessions, messages.
 #include "core/pool/job_completion_p.h"
+#include "core/pool/pauses_p.h"
 #include "core/pool/peers_p.h"
 
 #include "tarragonbridge/pool/config.h"
@@ -128,7 +129,11 @@
   Datagram.FailureDomain = State.Init.FailureDomain;
   Datagram.ReceiverIncarnation = Peer.Member.Host.Incarnation;
   Datagram.StateNumber = State.StateNumber;
-  Datagram.AckedStateNumber = Peer.StateNumber;
+  // An acknowledgement proves that this host's callers are there, or that it
+  // sends the cancellations of their jobs.
+  Datagram.AckedStateNumber = isCheckingCallers(State, Ctx.Now)
+                                  ? Peer.StateNumberBeforePause
+                                  : Peer.StateNumber;
   // Contact keeps the leases of this host's tasks, so it must bring their
   // cancellations. A peer that was heard long ago soon takes no datagram of
   // this host as contact: they acknowledge old states.
--- a/src/core/pool/owned_target.cpp
+++ b/src/core/pool/owned_target.cpp
@@ -116,7 +116,10 @@
     return;
   }
   Found->second.IsStopRequested = true;
-  Found->second.StopRequestedAt = Context.Now;
+  // Its caller may have left as early as the coordinator was last proved alive.
+  Found->second.StopLeaseLimit =
+      std::min(Context.Now + config::LeaseAfterStopRequest,
+               expiryLimitFor(Found->second.Task.Coordinator, Context));
   Found->second.StopReason = Reason;
   logAttempt("attempt_stopped", Ref, Reason, Context);
   if (Phase != ownership_phase::Lost) {
--- a/src/core/pool/owned_target_p.h
+++ b/src/core/pool/owned_target_p.h
@@ -40,7 +40,7 @@
   /// It ran, or may have run, in an earlier incarnation of the target.
   bool HasTargetRestarted = false;
   bool IsStopRequested = false;
-  boot_time StopRequestedAt;
+  boot_time StopLeaseLimit; ///< its lease must have expired by then if so
   boot_time StopDueAt;
   std::string StopReason;
 };
@@ -197,6 +197,10 @@
   bool wantsLongPoll() const;
   bool hasListingInFlight() const;
   bool hasLongPollInFlight() const;
+  /// @returns by when a lease on an attempt must have expired, so that it
+  /// doesn't run beside a resubmission of its job
+  static boot_time expiryLimitFor(const host_ref &Coordinator,
+                                  const ownership_context &Context);
   /// @returns by when the lease must have expired at the latest, given when the
   /// coordinators of its attempts are proved to have been alive
   boot_time leaseExpiryLimit(const ownership_context &Context) const;
--- a/src/core/pool/owned_target_requests.cpp
+++ b/src/core/pool/owned_target_requests.cpp
@@ -140,11 +140,8 @@
   }
 }
 
-namespace {
-/// @returns by when a lease on an attempt must have expired, so that it doesn't
-/// run beside a resubmission of its job
-boot_time expiryLimitFor(const host_ref &Coordinator,
-                         const ownership_context &Context) {
+boot_time owned_target::expiryLimitFor(const host_ref &Coordinator,
+                                       const ownership_context &Context) {
   if (!Context.Rules.BoundLeaseByCoordinatorContact || !Context.LastAliveAt) {
     return boot_time::max();
   }
@@ -152,6 +149,7 @@
          config::LeaseAfterCoordinatorContact;
 }
 
+namespace {
 /// @returns how much longer than by a target's clock a time may last
 milliseconds driftOver(milliseconds Time) {
   return std::chrono::duration_cast<milliseconds>(
@@ -165,8 +163,7 @@
   for (const auto &[Ref, Attempt] : Attempts) {
     Limit = std::min(Limit, expiryLimitFor(Attempt.Task.Coordinator, Context));
     if (Attempt.IsStopRequested) {
-      Limit = std::min(Limit,
-                       Attempt.StopRequestedAt + config::LeaseAfterStopRequest);
+      Limit = std::min(Limit, Attempt.StopLeaseLimit);
     }
   }
   return Limit;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -85,10 +85,10 @@
 }
 
 /// @returns whether a coordinator has timed out, so that nobody waits for its
-/// tasks
+/// tasks. This host's own jobs are withdrawn instead.
 bool isOrphan(const pool_state &State, const host_ref &Coordinator,
               boot_time Now) {
-  return State.Init.Rules.StopOrphans &&
+  return State.Init.Rules.StopOrphans && !isSelf(State, Coordinator) &&
          (!hostReceivedWithin(State, Coordinator, Now,
                               config::CoordinatorTimeout) ||
           lastAliveAt(State, Coordinator, Now) +
--- a/src/core/pool/pauses.cpp
+++ b/src/core/pool/pauses.cpp
@@ -13,7 +13,12 @@
   }
   // Between two pauses that follow each other the departures may not have been
   // read.
-  Pause.CallersKnownAt = callersKnownAt(Ctx.State, Last);
+  if (!isCheckingCallers(Ctx.State, Last)) {
+    Pause.CallersKnownAt = Last;
+    for (auto &[Name, Peer] : Ctx.State.Peers) {
+      Peer.StateNumberBeforePause = Peer.StateNumber;
+    }
+  }
   Pause.CallersCheckedBy = Ctx.Now + config::CallerCheckTime;
   Ctx.count(counter::Pauses);
   Ctx.log("resumed",
@@ -24,9 +29,12 @@
   return true;
 }
 
+bool isCheckingCallers(const pool_state &State, boot_time Now) {
+  return Now < State.Pause.CallersCheckedBy;
+}
+
 boot_time callersKnownAt(const pool_state &State, boot_time Now) {
-  const pause_state &Pause = State.Pause;
-  return Now < Pause.CallersCheckedBy ? Pause.CallersKnownAt : Now;
+  return isCheckingCallers(State, Now) ? State.Pause.CallersKnownAt : Now;
 }
 
 } // namespace tarragonbridge::pool
--- a/src/core/pool/pauses_p.h
+++ b/src/core/pool/pauses_p.h
@@ -12,6 +12,9 @@
 /// @returns whether a pause precedes it
 bool notePause(reducer_context &Ctx);
 
+/// @returns whether departures of callers during a pause may still be unread
+bool isCheckingCallers(const pool_state &State, boot_time Now);
+
 /// @returns the latest time up to which the departures of callers are known
 boot_time callersKnownAt(const pool_state &State, boot_time Now);
 
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -1,5 +1,6 @@
 // Who the peers are: membership, eviction, neighbours, which of them are alive.
 #include "core/pool/neighbours_p.h"
+#include "core/pool/pauses_p.h"
 #include "core/pool/peers_p.h"
 
 #include "tarragonbridge/pool/config.h"
@@ -177,6 +178,10 @@
              });
 }
 
+bool isSelf(const pool_state &State, const host_ref &Host) {
+  return Host == host_ref{State.Init.Name, State.Init.Incarnation};
+}
+
 namespace {
 /// @returns the peer that a process is, nullptr if it is not known
 const peer_host *findProcess(const pool_state &State, const host_ref &Host) {
@@ -186,16 +191,12 @@
       Found->second.Member.Host.Incarnation == Host.Incarnation;
   return IsKnown ? &Found->second : nullptr;
 }
-
-bool isSelf(const pool_state &State, const host_ref &Host) {
-  return Host == host_ref{State.Init.Name, State.Init.Incarnation};
-}
 } // namespace
 
 boot_time lastAliveAt(const pool_state &State, const host_ref &Host,
                       boot_time Now) {
   if (isSelf(State, Host)) {
-    return Now;
+    return callersKnownAt(State, Now);
   }
   const peer_host *Peer = findProcess(State, Host);
   return Peer == nullptr ? boot_time{} : Peer->AliveAt;
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -32,7 +32,8 @@
   /// process was alive later than that. A datagram may be read long after its
   /// sender has ended.
   boot_time AliveAt;
-  std::uint64_t StateNumber = 0;
+  std::uint64_t StateNumber = 0; ///< of the latest state received from it
+  std::uint64_t StateNumberBeforePause = 0; ///< the same before the last pause
   bool HasState = false;
   host_state State;
   bool IsNeighbour = false;
@@ -236,8 +237,11 @@
   boot_time ShutdownDeadline;
 };
 
+/// @returns whether a process is this one
+bool isSelf(const pool_state &State, const host_ref &Host);
 /// @returns the latest time at which a host's process is proved to have been
-/// alive; now for this process, the epoch for one that is not known
+/// alive, the epoch for one that is not known; for this process, the latest
+/// time up to which the departures of its callers are known
 boot_time lastAliveAt(const pool_state &State, const host_ref &Host,
                       boot_time Now);
 
--- a/tests/unit/pool_pause_test.cpp
+++ b/tests/unit/pool_pause_test.cpp
@@ -94,3 +94,34 @@
   World.runFor(6s);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
+
+// Guards against TWICE: a host wakes after a short pause, renews leases for
+// callers that have left, and its stops stay unanswered.
+TEST_CASE("a resumed host grants no lease beyond a caller's resubmission",
+          "[pool]") {
+  const milliseconds PauseTime =
+      GENERATE(400ms, 500ms, 600ms, 700ms, 790ms, 900ms, 1'100ms, 1'290ms);
+  const milliseconds Lead = GENERATE(0ms, 90ms, 180ms, 270ms, 360ms, 450ms);
+  const std::size_t Domains = GENERATE(1U, 2U); ///< with remote owners or not
+  const std::uint64_t Seed = GENERATE(1U, 2U);
+  CAPTURE(PauseTime.count(), Lead.count(), Domains, Seed);
+  pool_simulation World(worldOf(2, Domains, Seed));
+  World.settle();
+  const auto Requests = submitSingles(World, 0, 6, 4s);
+  World.runFor(300ms + Lead);
+  World.pause(0);
+  const boot_time ResubmitAt = World.now() + ResubmitDelay;
+  for (const request_handle Request : Requests) {
+    World.disconnect(0, Request);
+  }
+  World.runFor(PauseTime);
+  request_faults Faults;
+  Faults.LateStops = 1;
+  World.setRequestFaults(Faults);
+  World.resumeWithTimers(0);
+  World.runFor(ResubmitAt - World.now());
+  submitSingles(World, 1, 6, 4s);
+  World.setRequestFaults({});
+  World.runFor(6s);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
