Take no targets over before peers are heard after a pause

What callers saw: tasks that run at the targets of live hosts are stopped and started again, when another host wakes from a pause of 0.9 s or more.

Cause: the assignment of targets is due with the first event after the pause, and the host has heard nobody for as long as it stood still. All peers count as failed, and their targets are taken over with higher tokens.

Shown in the simulated pool only.

Change: for PeerCheckTime after a pause no target is assigned and no neighbour chosen.

Why it works: each live peer sends two states within that time, so one that is silent at its end was silent while this host listened.

--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -1,3 +1,4 @@
+#include "core/pool/pauses_p.h"
 #include "core/pool/state_p.h"
 #include "core/pool/target_assignment_p.h"
 #include "tarragonbridge/pool/config.h"
@@ -336,7 +337,8 @@
   yieldToHigherTokens(Ctx);
   dropFinished(Ctx);
   if (!canOwnTargets(State) || State.IsShuttingDown ||
-      !haveOwnersAdvertised(State, Ctx.Now)) {
+      !haveOwnersAdvertised(State, Ctx.Now) ||
+      isCheckingPeers(State, Ctx.Now)) {
     return;
   }
   const assignment_state &Assignment = updateAssignment(State, Ctx.Now);
--- a/src/core/pool/pauses.cpp
+++ b/src/core/pool/pauses.cpp
@@ -20,6 +20,7 @@
     }
   }
   Pause.CallersCheckedBy = Ctx.Now + config::CallerCheckTime;
+  Pause.PeersCheckedBy = Ctx.Now + config::PeerCheckTime;
   Ctx.count(counter::Pauses);
   Ctx.log("resumed",
           {{"paused_ms", millisecondsText(until(Ctx.Now, Last))},
@@ -33,6 +34,10 @@
   return Now < State.Pause.CallersCheckedBy;
 }
 
+bool isCheckingPeers(const pool_state &State, boot_time Now) {
+  return Now < State.Pause.PeersCheckedBy;
+}
+
 boot_time callersKnownAt(const pool_state &State, boot_time Now) {
   return isCheckingCallers(State, Now) ? State.Pause.CallersKnownAt : Now;
 }
--- a/src/core/pool/pauses_p.h
+++ b/src/core/pool/pauses_p.h
@@ -15,6 +15,9 @@
 /// @returns whether departures of callers during a pause may still be unread
 bool isCheckingCallers(const pool_state &State, boot_time Now);
 
+/// @returns whether live peers may not have been heard yet since a pause
+bool isCheckingPeers(const pool_state &State, boot_time Now);
+
 /// @returns the latest time up to which the departures of callers are known
 boot_time callersKnownAt(const pool_state &State, boot_time Now);
 
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -115,6 +115,9 @@
 
 void chooseNeighbours(reducer_context &Ctx) {
   pool_state &State = Ctx.State;
+  if (isCheckingPeers(State, Ctx.Now)) {
+    return;
+  }
   const host_location Self{State.Init.Name, State.Init.FailureDomain};
   std::vector<host_location> Hosts{Self};
   for (const auto &[Name, Peer] : State.Peers) {
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -189,6 +189,8 @@
   /// only.
   boot_time CallersKnownAt;
   boot_time CallersCheckedBy;
+  /// Until then, silences of peers prove nothing: they include the pause.
+  boot_time PeersCheckedBy;
 };
 
 struct pool_state {
--- a/tests/unit/pool_pause_test.cpp
+++ b/tests/unit/pool_pause_test.cpp
@@ -125,3 +125,31 @@
   World.runFor(6s);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
+
+// Guards against work that is stopped at live hosts: a host wakes, has heard
+// nobody during its pause, and takes the targets of all others over.
+TEST_CASE("a resumed host takes no target from a live owner", "[pool]") {
+  const milliseconds PauseTime = GENERATE(950ms, 1'500ms, 3s, 4'500ms, 8s);
+  const std::size_t Hosts = GENERATE(3U, 12U);
+  const std::uint64_t Seed = GENERATE(range<std::uint64_t>(1, 6));
+  CAPTURE(PauseTime.count(), Hosts, Seed);
+  pool_simulation World(worldOf(Hosts, 1, Seed));
+  World.settle();
+  World.pause(0);
+  World.runFor(PauseTime - 500ms);
+  simulated_job Job{"", 1};
+  Job.RunTime = 1'500ms;
+  std::vector<request_handle> Requests;
+  for (std::size_t Number = 0; Number < 6; ++Number) {
+    Job.Id = "j" + std::to_string(Number);
+    Requests.push_back(World.submit(1 + Number % (Hosts - 1), Job));
+  }
+  World.runFor(500ms);
+  const std::uint64_t TakenOver = World.counterTotal(counter::TakeOvers);
+  World.resumeWithTimers(0);
+  World.runFor(5s);
+  CHECK(World.counterTotal(counter::TakeOvers) == TakenOver);
+  CHECK(World.counterTotal(counter::UnknownStopped) == 0);
+  checkJobsDone(World, Requests);
+  CHECK_THAT(World.violations(), Catch::Equals(""));
+}
