Don't count a pause of the owner against its targets

What callers saw: after their host stood still, targets get no or few tasks, and a job may be held or refused as one that crashes targets.

Cause: requests whose responses the paused host didn't read counted as unanswered, and run times and overdue attempts included the pause.

Evidence: unit tests. Without the change to src/ "a target isn't blamed for a pause of its owner" failed in 4 of 18 checks and "a run time that includes a pause of the owner isn't exact" in 2 of 6; none with it.

Change: an owned target knows when its host resumed. Requests from before then don't count as unanswered; attempts from before then give no run time.

Why it works: whether a command was executed is still in doubt and decided by a listing; only the verdict on the target waits for requests that were waited for.

--- a/src/core/pool/owned_target.cpp
+++ b/src/core/pool/owned_target.cpp
@@ -435,7 +435,7 @@
     return;
   }
   owned_attempt &Attempt = Found->second;
-  const bool IsRunTimeExact = LastUnansweredSentAt < Attempt.StartedAt;
+  const bool IsRunTimeExact = hasRespondedSince(Attempt.StartedAt);
   Ended.push_back({std::move(Attempt.Task), AttemptOutcome,
                    until(Context.Now, Attempt.StartedAt),
                    CanRequeue && !Attempt.IsStopRequested, IsRunTimeExact,
--- a/src/core/pool/owned_target_p.h
+++ b/src/core/pool/owned_target_p.h
@@ -12,6 +12,7 @@
 #include "core/pool/queued_task_p.h"
 #include "tarragonbridge/pool/events.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -140,9 +141,10 @@
   /// @returns whether new attempts may be started
   bool isSchedulable() const;
   bool isUnresponsive() const;
-  /// @returns whether the target has responded to all requests since a time
+  /// @returns whether the target has responded to all requests since a time,
+  /// and the host has read the responses at once
   bool hasRespondedSince(boot_time Time) const {
-    return LastUnansweredSentAt < Time;
+    return std::max(LastUnansweredSentAt, ResumedAt) < Time;
   }
   /// @returns whether nothing is left to do, so that this can be dropped
   bool isFinished() const;
@@ -239,7 +241,8 @@
   std::uint32_t ConsecutiveUnanswered = 0; ///< requests in a row
   /// When the latest request without a response was sent.
   boot_time LastUnansweredSentAt;
-  bool NewConnection = false;        ///< for the next request
+  boot_time ResumedAt;        ///< the end of the latest pause of this host
+  bool NewConnection = false; ///< for the next request
   std::optional<milliseconds> Clock; ///< of the target, read at ClockAt
   boot_time ClockAt;
   boot_time LeaseHeldUntil; ///< earliest expiry, by the latest deadline sent
--- a/src/core/pool/owned_target_requests.cpp
+++ b/src/core/pool/owned_target_requests.cpp
@@ -50,6 +50,7 @@
 }
 
 void owned_target::onResume(boot_time Now) {
+  ResumedAt = Now;
   ListingNeededSince = Now;
   ListingDueAt = std::min(ListingDueAt, Now);
   for (auto &[Number, Request] : RenewalsInFlight) {
@@ -233,9 +234,12 @@
 
 void owned_target::recordUnanswered(boot_time SentAt,
                                     ownership_context &Context) {
+  NewConnection = true;
+  if (SentAt < ResumedAt) {
+    return; // this host didn't wait for the response
+  }
   ++ConsecutiveUnanswered;
   LastUnansweredSentAt = std::max(LastUnansweredSentAt, SentAt);
-  NewConnection = true;
   RenewalBackoff = std::min<milliseconds>(
       std::max<milliseconds>(2 * RenewalBackoff, config::RenewalRetryDelay),
       config::MaxRenewalBackoff);
--- a/tests/unit/owned_target_test.cpp
+++ b/tests/unit/owned_target_test.cpp
@@ -408,3 +408,50 @@
   REQUIRE(OwnedTarget.isSchedulable());
   CHECK(OwnedTarget.canStartFor(Coordinator, Context));
 }
+
+// Guards against targets that count as silent or slow for a pause of their
+// owner: their jobs are held as suspect, and they get few tasks.
+TEST_CASE_METHOD(owned_target_fixture,
+                 "a target isn't blamed for a pause of its owner", "[pool]") {
+  const command_outcome Outcome =
+      GENERATE(command_outcome::NoAnswer, command_outcome::NotSent);
+  CAPTURE(nameOf(Outcome));
+  constexpr milliseconds PauseTime{2'000};
+  acquire();
+  start(Own);
+  respondToStart(Own, command_outcome::Accepted);
+  advance(1ms); // sends a long poll
+  start(Foreign);
+  const boot_time StartedAt = Now;
+  Now += PauseTime;
+  OwnedTarget.onResume(Now);
+  respondToRenewal({}, {}, Outcome);
+  CHECK(OwnedTarget.isSchedulable());
+  respondToStart(Foreign, Outcome);
+  CHECK_FALSE(OwnedTarget.isUnresponsive());
+  CHECK_FALSE(OwnedTarget.hasRespondedSince(StartedAt));
+  advanceUntilRenewal();
+  respondToRenewal({}, {{1, Own, attempt_outcome::Done}});
+  for (const ended_attempt &Ended : OwnedTarget.extractEnded()) {
+    CHECK_FALSE(Ended.IsRunTimeExact);
+  }
+}
+
+// Guards against targets that count as slow for a pause of their owner.
+TEST_CASE_METHOD(owned_target_fixture,
+                 "a run time that includes a pause of the owner isn't exact",
+                 "[pool]") {
+  constexpr milliseconds PauseTime{2'000};
+  acquire();
+  start(Own);
+  respondToStart(Own, command_outcome::Accepted);
+  advance(1ms); // sends a long poll
+  const boot_time StartedAt = Now;
+  Now += PauseTime;
+  OwnedTarget.onResume(Now);
+  CHECK_FALSE(OwnedTarget.hasRespondedSince(StartedAt));
+  respondToRenewal({}, {{1, Own, attempt_outcome::Done}});
+  const std::vector<ended_attempt> Ended = OwnedTarget.extractEnded();
+  REQUIRE(Ended.size() == 1);
+  CHECK_FALSE(Ended.front().IsRunTimeExact);
+}
