--- a/tests/unit/pool_isolation_walk_test.cpp
+++ b/tests/unit/pool_isolation_walk_test.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds MaxBriefCut{800};
 constexpr milliseconds ClockStep{-2'400};
 constexpr std::size_t MaxIsolated = 3; ///< hosts, by one cut
-constexpr milliseconds MinPauseTime{4'000};
-constexpr milliseconds MaxPauseTime{9'000};
 constexpr milliseconds MinWalkTime{25'000};
 constexpr milliseconds MaxWalkTime{40'000};
 constexpr milliseconds RetryDelay{50};   ///< while the host chosen doesn't run
@@ -61,6 +59,9 @@
   std::vector<repeated_disruption> Disruptions;
   double DatagramLoss = 0.01;
   std::uint64_t JobsPerLongJob = 100;
+  bool ResumesWithTimers = false;
+  milliseconds MinPauseTime{4'000};
+  milliseconds MaxPauseTime{9'000};
 };
 
 /// Datagrams are dropped from the first host to the second.
@@ -97,6 +98,7 @@
     Init.Domains = Family.Domains;
     Init.TargetsPerDomain = Family.TargetsPerDomain;
     Init.Seed = Seed;
+    Init.ResumesWithTimers = Family.ResumesWithTimers;
     Init.DatagramLoss = Family.DatagramLoss;
     if (IsTraced) {
       Init.Trace = [](boot_time At, const std::string &Line) {
@@ -358,7 +360,7 @@
     }
     Simulation.pause(Host);
     loseStore(Host);
-    after(between(MinPauseTime, MaxPauseTime), [this, Host] {
+    after(between(Family.MinPauseTime, Family.MaxPauseTime), [this, Host] {
       if (Simulation.isRunning(Host) && Simulation.isPaused(Host)) {
         Simulation.resume(Host);
         regainStore(Host);
@@ -529,6 +531,16 @@
         {Leave, 200ms},
         {SlowDown, 8s}},
        0.03},
+      {"timers before events",
+       5,
+       2,
+       6,
+       {{Pause, 1s}, {Leave, 100ms}, {SlowDown, 8s}},
+       0.02,
+       20,
+       true,
+       300ms,
+       5s},
   };
 }
 
@@ -565,7 +577,8 @@
   struct walk_case {
     std::string Family;
     std::uint64_t Seed;
-    std::string Seen; ///< on fa15856, which delivered messages again
+    std::string
+        Seen; ///< on fa15856, which delivered messages again, or 2f329c0
   };
   const auto Case = GENERATE(values<walk_case>({
       {"isolated hosts", 6, "TWICE"},
@@ -576,6 +589,8 @@
       {"pauses", 27, "TWICE"},
       {"pauses", 54, "START, TWICE"},
       {"all", 19, "TWICE"},
+      {"timers before events", 16, "TWICE"},
+      {"timers before events", 92, "TWICE"},
   }));
   INFO(Case.Family << ", seed " << Case.Seed << ": " << Case.Seen);
   CHECK_THAT(isolation_walk(familyNamed(Case.Family), Case.Seed, false).run(),
--- a/tests/unit/pool_overlaps_test.cpp
+++ b/tests/unit/pool_overlaps_test.cpp
@@ -55,6 +55,7 @@
   std::vector<weighted_disruption> Disruptions;
   request_faults Faults;
   double DatagramLoss = 0.02;
+  bool ResumesWithTimers = false;
 };
 
 /// One job as its caller sees it.
@@ -123,6 +124,7 @@
     Init.Domains = Domains;
     Init.TargetsPerDomain = TargetsPerDomain;
     Init.Seed = Seed;
+    Init.ResumesWithTimers = Family.ResumesWithTimers;
     Init.DatagramLoss = Family.DatagramLoss;
     if (IsTraced) {
       Init.Trace = [](boot_time At, const std::string &Line) {
@@ -563,6 +565,16 @@
         {LongPause, 1}},
        makeFaults(0.1, 0.05, 0.02),
        0.05},
+      {"timers before events",
+       {{ShortPause, 4},
+        {LongPause, 6},
+        {Disconnect, 4},
+        {CutResponses, 2},
+        {CutHosts, 1},
+        {Heal, 3}},
+       Few,
+       0.02,
+       true},
   };
 }
 
@@ -609,6 +621,7 @@
     std::string Cause;
   };
   const std::string QueuedLease = "lease renewed before a queued start";
+  const std::string Pause = "timers of a resumed host before its events";
   const auto Case = GENERATE_COPY(values<walk_case>({
       {"cut paths", 1064, QueuedLease},
       {"flapping links", 1653, QueuedLease},
@@ -618,6 +631,11 @@
       {"terminated hosts", 2063, QueuedLease},
       {"everything", 1194, QueuedLease},
       {"smaller targets", 1000, "capacity of an earlier incarnation"},
+      {"timers before events", 386, Pause},
+      {"timers before events", 659, Pause},
+      {"timers before events", 1210, Pause},
+      {"timers before events", 1424, Pause},
+      {"timers before events", 1626, Pause},
   }));
   INFO(Case.Family << ", seed " << Case.Seed << ": " << Case.Cause);
   CHECK_THAT(overlap_walk(familyNamed(Case.Family), Case.Seed, false).run(),
--- a/tests/unit/pool_pause_test.cpp
+++ b/tests/unit/pool_pause_test.cpp
@@ -20,6 +20,7 @@
   Init.Domains = Domains;
   Init.TargetsPerDomain = 12;
   Init.Seed = Seed;
+  Init.ResumesWithTimers = true;
   if (std::getenv("TRACE_PAUSE") != nullptr) {
     Init.Trace = [](boot_time At, const std::string &Line) {
       std::cout << std::chrono::duration<double>(At.time_since_epoch()).count()
@@ -64,7 +65,7 @@
   World.runFor(ResubmitDelay);
   submitSingles(World, 1, Leaving, 3s);
   World.runFor(PauseTime - LeaveAfter - ResubmitDelay);
-  World.resumeWithTimers(0);
+  World.resume(0);
   World.runFor(6s);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
@@ -90,7 +91,7 @@
   World.runFor(ResubmitDelay);
   World.submit(1, Job);
   World.runFor(PauseTime - ResubmitDelay);
-  World.resumeWithTimers(0);
+  World.resume(0);
   World.runFor(6s);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
@@ -118,7 +119,7 @@
   request_faults Faults;
   Faults.LateStops = 1;
   World.setRequestFaults(Faults);
-  World.resumeWithTimers(0);
+  World.resume(0);
   World.runFor(ResubmitAt - World.now());
   submitSingles(World, 1, 6, 4s);
   World.setRequestFaults({});
@@ -146,7 +147,7 @@
   }
   World.runFor(500ms);
   const std::uint64_t TakenOver = World.counterTotal(counter::TakeOvers);
-  World.resumeWithTimers(0);
+  World.resume(0);
   World.runFor(5s);
   CHECK(World.counterTotal(counter::TakeOvers) == TakenOver);
   CHECK(World.counterTotal(counter::UnknownStopped) == 0);
@@ -174,9 +175,26 @@
   const std::uint64_t Before = World.startCount();
   World.pause(Host);
   World.runFor(PauseTime);
-  World.resumeWithTimers(Host);
+  World.resume(Host);
   World.runFor(3s);
   checkJobsDone(World, Requests);
   CHECK(World.startCount() == Before);
   CHECK_THAT(World.violations(), Catch::Equals(""));
 }
+
+// Guards against old settings in force after a pause, whatever the host's turn
+// in polling them.
+TEST_CASE("a resumed host has the newest configuration at once", "[pool]") {
+  const milliseconds PauseTime = GENERATE(850ms, 2s, 5s);
+  const std::size_t Host = GENERATE(0U, 1U, 2U, 3U);
+  CAPTURE(PauseTime.count(), Host);
+  constexpr std::int64_t NewVersion = 5;
+  pool_simulation World(worldOf(4, 1, 1));
+  World.settle();
+  World.pause(Host);
+  World.setConfigurationVersion(NewVersion);
+  World.runFor(PauseTime);
+  World.resume(Host);
+  World.runFor(20ms);
+  CHECK(World.hostMetrics(Host).ConfigurationVersion == NewVersion);
+}
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -383,21 +383,15 @@
   Hosts[Host].IsPaused = false;
   std::vector<event> DeferredEvents = std::move(Hosts[Host].DeferredEvents);
   Hosts[Host].DeferredEvents.clear();
+  if (Init.ResumesWithTimers) {
+    post(Host, timer_fired{});
+  }
   for (event &Event : DeferredEvents) {
     post(Host, std::move(Event));
   }
   post(Host, timer_fired{});
 }
 
-void pool_simulation::resumeWithTimers(std::size_t Host) {
-  std::vector<event> Deferred =
-      std::exchange(Hosts[Host].DeferredEvents, {timer_fired{}});
-  resume(Host);
-  for (event &Event : Deferred) {
-    post(Host, std::move(Event));
-  }
-}
-
 void pool_simulation::partitionHosts(std::size_t A, std::size_t B) {
   trace(hostName(A), {"cut", {{"from", hostName(B)}}});
   PartitionedHosts.insert(std::minmax(A, B));
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -28,6 +28,9 @@
   /// After which a target that a task has crashed is back, as a new
   /// incarnation.
   milliseconds DownTime{3'000};
+  /// The timers of a resumed host fire before it handles the events that came
+  /// meanwhile, instead of after them.
+  bool ResumesWithTimers = false;
   /// Called with each log line of a host and each start and end of an attempt
   /// at a target.
   std::function<void(boot_time, const std::string &Line)> Trace;
@@ -109,9 +112,6 @@
   /// The host handles no events until it is resumed.
   void pause(std::size_t Host);
   void resume(std::size_t Host);
-  /// The same, but its timers fire before it handles the events that came
-  /// meanwhile.
-  void resumeWithTimers(std::size_t Host);
   /// Drops messages between two hosts in both directions.
   void partitionHosts(std::size_t A, std::size_t B);
   void partitionFromTargets(std::size_t Host);
