Watch the targets at once after a late answer

What callers would see: a task started at a target that has announced its leaving, by a host that has just woken from a pause.

Cause: the interval between two watches of the targets counted from the answer.

Why it works: the list is then as old as a round trip. Under heartbeats watches are answered sooner, so the store gets as many calls as before.

--- a/src/poolhost/store_watcher.cpp
+++ b/src/poolhost/store_watcher.cpp
@@ -122,6 +122,7 @@
 
 void store_watcher::readOrWatch(watched_prefix &Watched) {
   Watched.IsRequestInFlight = true;
+  Watched.SentAt = bootNow();
   if (Watched.Revision == 0) {
     sendRequest(platform::readRange(Watched.Prefix, Watched.PageAfterKey),
                 config::StoreTimeout,
@@ -196,7 +197,10 @@
   }
   Watched.Backoff = milliseconds(0);
   Watched.Revision = std::max(Watched.Revision, Events->Revision);
-  Watched.DueAt = bootNow() + Watched.MinInterval;
+  // What a late response tells is old, after a pause of this process too.
+  const boot_time Now = bootNow();
+  Watched.DueAt = std::clamp(Watched.SentAt + 2 * Watched.MinInterval, Now,
+                             Now + Watched.MinInterval);
   deliver(Watched, *Events, false);
 }
 
--- a/src/poolhost/store_watcher.h
+++ b/src/poolhost/store_watcher.h
@@ -43,12 +43,14 @@
   /// A prefix of keys that is read as a snapshot and then watched.
   struct watched_prefix {
     std::string Prefix;
-    milliseconds Wait{};        ///< long-poll wait of a watch
-    milliseconds MinInterval{}; ///< from a watch's response to the next watch
+    milliseconds Wait{}; ///< long-poll wait of a watch
+    /// From a watch's response to the next watch, but for late responses.
+    milliseconds MinInterval{};
     std::uint64_t Revision = 0; ///< 0: a snapshot has to be read
     std::string PageAfterKey;
     platform::store_items Pages; ///< of the snapshot, read so far
     boot_time DueAt;
+    boot_time SentAt; ///< the latest request
     bool IsRequestInFlight = false;
     milliseconds Backoff{};
   };
--- /dev/null
+++ b/tests/unit/store_watcher_test.cpp
@@ -0,0 +1,99 @@
+/// The watches of the platform's store, against a stand-in for it.
+#include "poolhost/store_watcher.h"
+
+#include "base/clock.h"
+#include "poolhost/async_http_server.h"
+#include "standins/own_address.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonbridge;
+using namespace tarragonbridge::poolhost;
+using namespace std::chrono_literals;
+
+namespace {
+/// An empty store. It answers reads, and no watch before it is told to.
+class store_fixture {
+public:
+  store_fixture() {
+    tryOr(
+        [&] {
+          return Server.start(
+              [this](request_handle Request, server_request &&Received) {
+                receive(Request, Received);
+              },
+              [](request_handle) {});
+        },
+        [](const error &Error) { FAIL(Error.Message); });
+  }
+
+  void runUntil(const std::function<bool()> &IsOver) {
+    const boot_time TimeoutAt = bootNow() + 10s;
+    while (!IsOver() && bootNow() < TimeoutAt) {
+      Loop.runOnce(std::min(bootNow() + 5ms, Client.nextDueAt()));
+      Client.onTimer();
+      Client.completeRequests();
+      Watcher.onTimer(bootNow());
+      Server.flush(bootNow());
+    }
+    REQUIRE(IsOver());
+  }
+  void runFor(milliseconds Time) {
+    const boot_time End = bootNow() + Time;
+    runUntil([&] { return bootNow() >= End; });
+  }
+  /// Answers the watch of the targets without an event.
+  void endTargetsWatch() {
+    Server.respond(*TargetsWatch, {200, R"({"events":[],"at":5})", {}});
+    TargetsWatch.reset();
+  }
+  bool hasTargetsWatch() const { return TargetsWatch.has_value(); }
+  std::size_t deliveries() const { return Deliveries; }
+  std::uint64_t requestCount() const { return Watcher.requestCount(); }
+
+private:
+  static server_init serverInit(const std::string &Address) {
+    server_init Init;
+    Init.ListenAddress = Address;
+    return Init;
+  }
+  void receive(request_handle Request, const server_request &Received) {
+    if (Received.Path == "/-/kv-range") {
+      Server.respond(Request,
+                     {200, R"({"items":[],"truncated":false,"at":5})", {}});
+    } else if (Received.Path == "/-/kv-watch" &&
+               Received.Query.at("prefix") == platform::TargetsPrefix) {
+      TargetsWatch = Request;
+    }
+  }
+
+  const std::string Address = ownAddress(19431);
+  epoll_loop Loop;
+  async_http_client Client{Loop, 6};
+  async_http_server Server{Loop, serverInit(Address)};
+  std::optional<request_handle> TargetsWatch;
+  std::size_t Deliveries = 0;
+  store_watcher Watcher{
+      Client,
+      {Address, {}},
+      [this](pool::event &&Event) {
+        Deliveries += std::holds_alternative<pool::targets_listed>(Event);
+      },
+      [](const std::string &, const std::string &) {}};
+};
+} // namespace
+
+// Guards against new work for a leaving target: a resumed host reads the answer
+// to a watch from before its pause, and waits before it asks again.
+TEST_CASE_METHOD(store_fixture,
+                 "a watch whose answer comes late is repeated at once",
+                 "[pool]") {
+  constexpr milliseconds PauseTime{1'000};
+  runUntil([this] { return hasTargetsWatch(); });
+  runFor(PauseTime);
+  const std::size_t Before = deliveries();
+  const std::uint64_t RequestsBefore = requestCount();
+  endTargetsWatch();
+  runUntil([&] { return deliveries() > Before; });
+  CHECK(requestCount() > RequestsBefore);
+}
