Answer late copies of cancelled jobs by their cancelling

A job whose cancelling was acknowledged runs again when a late copy of its POST arrives at the same host.

Cause: the record of an ended job told whether it was done, but not that it was cancelled; a DELETE for a job that isn't open left no record.

Change: the record holds the final response, if there is one, and a copy gets it.

--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -218,9 +218,9 @@
     return;
   }
   const auto Ended = Coordinator.EndedJobs.find(Id);
-  if (Ended != Coordinator.EndedJobs.end() && Ended->second.IsDone) {
+  if (Ended != Coordinator.EndedJobs.end() && Ended->second.FinalResponse) {
     Ctx.Effects.emplace_back(
-        respond_to_caller{Request, response_kind::JobDone});
+        respond_to_caller{Request, *Ended->second.FinalResponse});
     return;
   }
   for (const job_step &JobStep : Submitted.Job.Steps) {
@@ -256,6 +256,8 @@
         Response.Kind = response_kind::Cancelled;
         failJob(Ctx, Id, response_kind::Cancelled, "cancelled");
       }
+    } else if (Query.IsCancel) {
+      recordCancellation(Ctx, Id);
     }
   }
   Ctx.Effects.emplace_back(Response);
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -36,14 +36,24 @@
   }
 }
 
-void recordEndedJob(reducer_context &Ctx, const open_job &Job, bool IsDone) {
+/// Keeps the record of a job that has ended now.
+void keepEndedJob(reducer_context &Ctx, const std::string &Id) {
   coordinator_state &Coordinator = Ctx.State.Coordinator;
-  Coordinator.EndedJobs[Job.Id] = {IsDone, lastAttemptNumber(Job),
-                                   crashesOf(Job), Ctx.Now};
-  Coordinator.EndedJobOrder.emplace_back(Ctx.Now, Job.Id);
+  Coordinator.EndedJobs.at(Id).EndedAt = Ctx.Now;
+  Coordinator.EndedJobOrder.emplace_back(Ctx.Now, Id);
   evictEndedJobs(Coordinator, Ctx.Now);
 }
 
+void recordEndedJob(reducer_context &Ctx, const open_job &Job,
+                    response_kind Kind) {
+  const bool IsFinal =
+      Kind == response_kind::JobDone || Kind == response_kind::Cancelled;
+  Ctx.State.Coordinator.EndedJobs[Job.Id] = {
+      IsFinal ? std::optional(Kind) : std::nullopt, lastAttemptNumber(Job),
+      crashesOf(Job), Ctx.Now};
+  keepEndedJob(Ctx, Job.Id);
+}
+
 bool mayHaveRun(const open_job &Job) {
   return Job.MayHaveRun ||
          std::any_of(Job.Tasks.begin(), Job.Tasks.end(),
@@ -80,10 +90,17 @@
     Ctx.Effects.emplace_back(respond_to_caller{Request, Kind, RetryAfter, 0,
                                                Ctx.State.IsShuttingDown});
   }
-  recordEndedJob(Ctx, Job, Kind == response_kind::JobDone);
+  recordEndedJob(Ctx, Job, Kind);
   Coordinator.Jobs.erase(Found);
 }
 
+void recordCancellation(reducer_context &Ctx, const std::string &Id) {
+  auto &Record = Ctx.State.Coordinator.EndedJobs[Id];
+  Record.FinalResponse =
+      Record.FinalResponse.value_or(response_kind::Cancelled);
+  keepEndedJob(Ctx, Id);
+}
+
 void completeJob(reducer_context &Ctx, const open_job &Job) {
   const auto Age =
       std::chrono::duration_cast<milliseconds>(Ctx.Now - Job.SubmittedAt);
--- a/src/core/pool/job_completion_p.h
+++ b/src/core/pool/job_completion_p.h
@@ -12,6 +12,9 @@
 /// it. A record of it is kept for resubmissions.
 void finishJob(reducer_context &Ctx, const std::string &Id, response_kind Kind,
                milliseconds RetryAfter = milliseconds(0));
+/// Records that a job that isn't open was cancelled: a late copy of its
+/// submission may arrive.
+void recordCancellation(reducer_context &Ctx, const std::string &Id);
 /// Ends a job whose tasks are all done.
 void completeJob(reducer_context &Ctx, const open_job &Job);
 /// Ends a job as failed.
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -161,7 +161,9 @@
   std::unordered_map<std::uint64_t, std::string> JobIdByRequest; ///< by request
   /// What is kept of a job that ended recently, for its resubmission.
   struct ended_job {
-    bool IsDone = false;
+    /// Also that of late copies of its submission; none if it may be submitted
+    /// again.
+    std::optional<response_kind> FinalResponse;
     std::uint32_t LastAttemptNumber = 0;
     crash_summary Crashes;
     boot_time EndedAt;
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -307,6 +307,13 @@
   return Request;
 }
 
+void pool_simulation::cancel(std::size_t Host, const simulated_job &Job) {
+  const request_handle Request{Requests.size() + 1};
+  Requests[static_cast<std::uint64_t>(Request)] = {Job.Id, Now, {}, {}};
+  post(Host, job_queried{Request, "caller.example",
+                         "/" + Job.Route + "/" + Job.Id, true});
+}
+
 void pool_simulation::disconnect(std::size_t Host, request_handle Request) {
   post(Host, caller_disconnected{Request});
 }
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -90,6 +90,8 @@
   const simulated_job &jobOf(const std::string &Id) const {
     return Jobs.at(Id);
   }
+  /// Cancels a job at a host, which may not have it.
+  void cancel(std::size_t Host, const simulated_job &Job);
   /// The caller disconnects before the response.
   void disconnect(std::size_t Host, request_handle Request);
   /// @returns the response, nullopt while there is none
