Cancel a job at whichever host its caller reaches

DELETE reaches another host than the POST did, is acknowledged with 410, and the job runs on.

Cause: a host looks a job up among its own only.

Change: a host without the job passes its cancelling on to all others, in a further field of the message that cancels tasks; earlier versions ignore it.

Why it works: the message is repeated with each datagram until it is acknowledged, and each host either cancels the job or keeps a record that it was cancelled.

Tests changed: the codec and size tests have a row for the field; they check no less.

--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -44,9 +44,11 @@
   milliseconds RunTime{};
 };
 
-/// The coordinator no longer needs these attempts.
+/// The coordinator no longer needs these attempts. A host that isn't the
+/// coordinator of a job passes on that its caller cancelled it.
 struct tasks_cancelled {
   std::vector<attempt_ref> Attempts;
+  std::vector<std::string> Jobs = {}; ///< by id; ignored by earlier versions
 };
 
 /// The sender now owns the target of these attempts, in place of the owner
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -256,6 +256,9 @@
     handleTaskEnded(Ctx, *Ended);
   } else if (auto *Cancelled = std::get_if<tasks_cancelled>(&Message)) {
     cancelTasks(Ctx, From, *Cancelled);
+    for (const std::string &Job : Cancelled->Jobs) {
+      cancelJob(Ctx, Job);
+    }
   } else if (auto *Reassigned = std::get_if<attempts_reassigned>(&Message)) {
     handleReassignment(Ctx, From, *Reassigned);
   } else if (auto *Handover = std::get_if<target_handover>(&Message)) {
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -231,6 +231,29 @@
                                          std::move(Submitted))));
 }
 
+bool cancelJob(reducer_context &Ctx, const std::string &Id) {
+  if (!Ctx.State.Coordinator.Jobs.contains(Id)) {
+    recordCancellation(Ctx, Id);
+    return false;
+  }
+  failJob(Ctx, Id, response_kind::Cancelled, "cancelled");
+  return true;
+}
+
+namespace {
+/// Cancels a job here or, if it isn't open here, at all other hosts: the caller
+/// may have submitted it to any of them.
+response_kind cancelEverywhere(reducer_context &Ctx, const std::string &Id) {
+  if (cancelJob(Ctx, Id)) {
+    return response_kind::Cancelled;
+  }
+  for (const auto &[Name, Peer] : Ctx.State.Peers) {
+    sendMessage(Ctx, Peer.Member.Host, tasks_cancelled{{}, {Id}});
+  }
+  return response_kind::UnknownJob;
+}
+} // namespace
+
 void queryJob(reducer_context &Ctx, const job_queried &Query) {
   pool_state &State = Ctx.State;
   respond_to_caller Response{Query.Request, response_kind::UnknownJob};
@@ -250,14 +273,10 @@
                       }));
   } else {
     const std::string Id = Query.Path.substr(Route->PathPrefix.size());
-    if (State.Coordinator.Jobs.contains(Id)) {
+    if (Query.IsCancel) {
+      Response.Kind = cancelEverywhere(Ctx, Id);
+    } else if (State.Coordinator.Jobs.contains(Id)) {
       Response.Kind = response_kind::Running;
-      if (Query.IsCancel) {
-        Response.Kind = response_kind::Cancelled;
-        failJob(Ctx, Id, response_kind::Cancelled, "cancelled");
-      }
-    } else if (Query.IsCancel) {
-      recordCancellation(Ctx, Id);
     }
   }
   Ctx.Effects.emplace_back(Response);
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -158,7 +158,22 @@
 }
 
 array encode(const tasks_cancelled &Cancelled) {
-  return row("cancelled", encode(Cancelled.Attempts));
+  array Jobs;
+  for (const std::string &Job : Cancelled.Jobs) {
+    Jobs.emplace_back(Job);
+  }
+  return row("cancelled", encode(Cancelled.Attempts), Jobs);
+}
+
+tasks_cancelled decodeCancelled(const value &Row) {
+  constexpr std::size_t JobsIndex = 2;
+  tasks_cancelled Cancelled{decodeAttempts(at(Row, 1))};
+  if (Row.as_array().size() > JobsIndex) {
+    for (const value &Job : at(Row, JobsIndex).as_array()) {
+      Cancelled.Jobs.push_back(decodeText(Job));
+    }
+  }
+  return Cancelled;
 }
 
 array encode(const attempts_reassigned &Reassigned) {
@@ -212,7 +227,7 @@
     return decodeEnded(Row);
   }
   if (Kind == "cancelled") {
-    return tasks_cancelled{decodeAttempts(at(Row, 1))};
+    return decodeCancelled(Row);
   }
   if (Kind == "moved") {
     return decodeReassigned(Row);
--- a/src/core/pool/peer_message_size.cpp
+++ b/src/core/pool/peer_message_size.cpp
@@ -70,7 +70,12 @@
 }
 
 std::size_t sizeOf(const tasks_cancelled &Cancelled) {
-  return BaseBytes + sizeOf(Cancelled.Attempts);
+  return std::accumulate(Cancelled.Jobs.begin(), Cancelled.Jobs.end(),
+                         BaseBytes + sizeOf(Cancelled.Attempts),
+                         [](std::size_t Sum, const std::string &Job) {
+                           constexpr std::size_t QuotesAndComma = 3;
+                           return Sum + escapedSize(Job) + QuotesAndComma;
+                         });
 }
 
 std::size_t sizeOf(const attempts_reassigned &Reassigned) {
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -346,6 +346,9 @@
 /// the tasks that may have crashed a target, only one is placed at a time.
 void placeJob(reducer_context &Ctx, open_job &Job);
 void queryJob(reducer_context &Ctx, const job_queried &Asked);
+/// Cancels a job if it is open here, and records that it was cancelled.
+/// @returns whether it was open
+bool cancelJob(reducer_context &Ctx, const std::string &Id);
 void detachCaller(reducer_context &Ctx, const caller_disconnected &Left);
 void handleOfferRefused(reducer_context &Ctx, const host_ref &From,
                         const offer_refused &Refused);
--- a/tests/unit/peer_link_size_test.cpp
+++ b/tests/unit/peer_link_size_test.cpp
@@ -52,17 +52,19 @@
   constexpr char EscapedSixfold = '\x01';
   const auto Attempts = attemptsOf("5c0e7a21d94b36f8", TasksPerJob);
   const auto FewOfLongId = attemptsOf(std::string(2'000, 'j'), 20);
-  return {{"refusals", offer_refused{Attempts, 1s}},
-          {"reassignments", attempts_reassigned{Attempts, 1U << 31U}},
-          {"cancellations", tasks_cancelled{Attempts}},
-          {"refusals of long ids", offer_refused{FewOfLongId, 1s}},
-          {"cancellations of long ids", tasks_cancelled{FewOfLongId}},
-          {"outcomes", task_ended{{std::string(2'000, 'j'), 1, 1, 12},
-                                  attempt_outcome::Done,
-                                  "i-7accbfb302",
-                                  1s}},
-          {"small offers", offerOf(2, EscapedSixfold)},
-          {"large offers", offerOf(TasksPerJob, EscapedSixfold)}};
+  return {
+      {"refusals", offer_refused{Attempts, 1s}},
+      {"reassignments", attempts_reassigned{Attempts, 1U << 31U}},
+      {"cancellations", tasks_cancelled{Attempts}},
+      {"refusals of long ids", offer_refused{FewOfLongId, 1s}},
+      {"cancellations of long ids", tasks_cancelled{FewOfLongId}},
+      {"cancellations of jobs", tasks_cancelled{{}, {200, "5c0e7a21d94b36f8"}}},
+      {"outcomes", task_ended{{std::string(2'000, 'j'), 1, 1, 12},
+                              attempt_outcome::Done,
+                              "i-7accbfb302",
+                              1s}},
+      {"small offers", offerOf(2, EscapedSixfold)},
+      {"large offers", offerOf(TasksPerJob, EscapedSixfold)}};
 }
 
 /// Lets both sides of a link know each other's epoch.
--- a/tests/unit/pool_cancel_test.cpp
+++ b/tests/unit/pool_cancel_test.cpp
@@ -34,3 +34,27 @@
   CHECK(World.startCount() == Before);
   CHECK(World.responseOf(Copy) == response_kind::Cancelled);
 }
+
+// Guards against UNASKED: a caller's DELETE reaches another host than its POST,
+// is acknowledged there, and the job runs on.
+TEST_CASE("a job is cancelled at whichever host its caller reaches", "[pool]") {
+  const std::size_t Hosts = GENERATE(2U, 5U, 12U);
+  const std::uint64_t Seed = GENERATE(1U, 2U, 3U);
+  CAPTURE(Hosts, Seed);
+  simulation_init Init;
+  Init.Hosts = Hosts;
+  Init.Domains = 2;
+  Init.DatagramLoss = 0.05;
+  Init.Seed = Seed;
+  pool_simulation World(Init);
+  World.settle();
+  simulated_job Job{"j", 2};
+  Job.RunTime = 5s;
+  const request_handle Request = World.submit(0, Job);
+  World.runFor(500ms);
+  REQUIRE_FALSE(World.areTargetsIdle());
+  World.cancel(Hosts - 1, Job);
+  World.runFor(1s);
+  CHECK(World.responseOf(Request) == response_kind::Cancelled);
+  CHECK(World.areTargetsIdle());
+}
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -271,6 +271,7 @@
   Sent.Messages.push_back(
       {5, task_ended{{"j", 0, 2, 1}, attempt_outcome::Crashed, "t", 5ms}});
   Sent.Messages.push_back({6, attempts_reassigned{{{"j", 0, 2, 1}}, 8}});
+  Sent.Messages.push_back({7, tasks_cancelled{{}, {"j"}}});
   const auto Read = decodeDatagram(encodeDatagram(Sent, encodeState(State)));
   REQUIRE(Read);
   CHECK(Read->From == Sent.From);
@@ -282,6 +283,8 @@
   CHECK(std::get<task_ended>(Read->Messages[1].Message).Outcome ==
         attempt_outcome::Crashed);
   CHECK(std::get<attempts_reassigned>(Read->Messages[2].Message).Token == 8);
+  CHECK(std::get<tasks_cancelled>(Read->Messages[3].Message).Jobs ==
+        std::vector<std::string>{"j"});
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, "[true]x")));
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, ""))->State);
   // Of earlier versions.
@@ -289,10 +292,12 @@
             ->State->CanOwnTargets);
   CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[]]"))
             ->State->Crashes.empty());
-  const auto Earlier = decodeDatagram(
-      R"([["a",1],"d",0,0,0,0,[],[[1,["moved",[["j",0,2,1]]]]],0,0])");
+  const auto Earlier =
+      decodeDatagram(R"([["a",1],"d",0,0,0,0,[],[[1,["moved",[["j",0,2,1]]]],)"
+                     R"([2,["cancelled",[["j",0,2,1]]]]],0,0])");
   REQUIRE(Earlier);
   CHECK(std::get<attempts_reassigned>(Earlier->Messages[0].Message).Token == 0);
+  CHECK(std::get<tasks_cancelled>(Earlier->Messages[1].Message).Jobs.empty());
   for (const char *Bad : {"", "{}", "[1]", "[[\"a\",\"b\"]]", "\xff"}) {
     CHECK_FALSE(decodeDatagram(Bad));
   }
