Recognise a restarted target whatever number it has

A target restarts under its id with a lower born, as its clock was set back. Its lists are dropped, its tasks count as lost, and one that runs there is started elsewhere.

Cause: a lower incarnation counted as outdated, in the store's records and in listings.

Change: records carry the store's revision, which orders them. A listing with another incarnation shows a restart, as its request was sent when the former was known.

Why it works: neither order rests on a clock. Without revisions, as in the simulated pool, the number decides as before.

--- a/include/tarragonbridge/pool/types.h
+++ b/include/tarragonbridge/pool/types.h
@@ -61,7 +61,12 @@
   resource_vector Capacity;
   bool IsDraining = false;
   milliseconds DrainTimeLeft{}; ///< least time left while draining
-  std::int64_t Incarnation = 0; ///< start of its process, Unix milliseconds
+  /// Start of its process, Unix milliseconds. A later process may have a lower
+  /// one, since clocks are set back.
+  std::int64_t Incarnation = 0;
+  /// Of the platform's store, where the record is as it stands; rises with each
+  /// change. 0: unknown.
+  std::uint64_t Revision = 0;
 
   bool operator==(const target_record &) const = default;
 };
--- a/src/core/pool/owned_target.cpp
+++ b/src/core/pool/owned_target.cpp
@@ -73,18 +73,27 @@
 void owned_target::updateRecord(const target_record &Listed,
                                 ownership_context &Context) {
   IsRemoved = false;
-  const std::int64_t Incarnation = Listed.Incarnation;
-  const bool IsNewer = Incarnation > Record.Incarnation;
-  if (Incarnation < Record.Incarnation) {
-    return; // an outdated record
+  if (isOutdated(Listed)) {
+    return;
   }
+  const std::int64_t Incarnation = Listed.Incarnation;
+  const bool HasRestarted = Incarnation != Record.Incarnation;
   Record = Listed;
   RecordedIncarnation = Incarnation;
-  if (IsNewer) {
+  if (HasRestarted) {
     handleRestart(Incarnation, Context);
   }
 }
 
+bool owned_target::isOutdated(const target_record &Listed) const {
+  if (Listed.Revision == 0 || Record.Revision == 0) {
+    return Listed.Incarnation < Record.Incarnation;
+  }
+  const bool IsRecordedBefore = Listed.Incarnation == RecordedIncarnation &&
+                                Listed.Incarnation != Record.Incarnation;
+  return Listed.Revision < Record.Revision || IsRecordedBefore;
+}
+
 void owned_target::start(queued_task Task, milliseconds ProbeAfter,
                          ownership_context &Context) {
   const attempt_ref Ref = Task.Attempt;
@@ -251,9 +260,9 @@
     return;
   }
   if (Response.Incarnation != 0 && Response.Incarnation != Record.Incarnation) {
-    if (Response.Incarnation > Record.Incarnation) {
-      handleRestart(Response.Incarnation, Context);
-    }
+    // The request was sent when the recorded incarnation was known already, so
+    // this one is later, whichever number is higher.
+    handleRestart(Response.Incarnation, Context);
     return;
   }
   ConsecutiveUnanswered = 0;
--- a/src/core/pool/owned_target_p.h
+++ b/src/core/pool/owned_target_p.h
@@ -187,6 +187,9 @@
   void sendStop(owned_attempt &Attempt, ownership_context &Context);
   void sendRenewal(milliseconds Wait, ownership_context &Context);
   void evictOldOutcomes(boot_time Now);
+  /// @returns whether a record was written before the current one, or by an
+  /// earlier incarnation than the latest listing shows
+  bool isOutdated(const target_record &Listed) const;
   void logAttempt(std::string Event, const attempt_ref &Attempt,
                   std::string_view Reason, ownership_context &Context) const;
   bool needsListing() const;
--- a/tests/unit/owned_target_test.cpp
+++ b/tests/unit/owned_target_test.cpp
@@ -409,6 +409,51 @@
   CHECK(OwnedTarget.canStartFor(Coordinator, Context));
 }
 
+// Guards against TWICE, LIMIT and DRAIN: a target restarts under its id while
+// its clock is set back, and all that it says is dropped as outdated.
+TEST_CASE_METHOD(owned_target_fixture,
+                 "a target restarts as an incarnation with a lower number",
+                 "[pool]") {
+  const bool IsRecordFirst = GENERATE(true, false); ///< else a listing tells it
+  CAPTURE(IsRecordFirst);
+  constexpr std::int64_t First = 1'000;
+  constexpr std::int64_t Second = 400;
+  constexpr milliseconds SecondClock{20};
+  target_record Record = makeRecord();
+  Record.Incarnation = First;
+  Record.Revision = 5;
+  updateRecord(Record);
+  advance(0ms);
+  respondFrom(First, 50s);
+  REQUIRE(OwnedTarget.isSchedulable());
+  start(Own);
+  respondToStart(Own, command_outcome::Accepted);
+  target_record Restarted = Record;
+  Restarted.Incarnation = Second;
+  Restarted.Revision = 9;
+  Restarted.Capacity = {8'000, 65'536, 0};
+  if (IsRecordFirst) {
+    updateRecord(Restarted);
+  } else {
+    advance(1ms);
+    respondFrom(Second, SecondClock);
+    Record.IsDraining = true;
+    Record.Revision = 7;
+    updateRecord(Record); // of the earlier incarnation
+    CHECK_FALSE(OwnedTarget.isSchedulable());
+    updateRecord(Restarted);
+  }
+  advanceUntilRenewal();
+  respondFrom(Second, SecondClock);
+  CHECK(OwnedTarget.isSchedulable());
+  CHECK(OwnedTarget.freeCapacity().CpuMilli == 8'000);
+  const std::vector<ended_attempt> Ended = OwnedTarget.extractEnded();
+  REQUIRE(Ended.size() == 1);
+  CHECK(Ended.front().Outcome == attempt_outcome::Crashed);
+  updateRecord(Record);
+  CHECK(OwnedTarget.freeCapacity().CpuMilli == 8'000);
+}
+
 // Guards against targets that count as silent or slow for a pause of their
 // owner: their jobs are held as suspect, and they get few tasks.
 TEST_CASE_METHOD(owned_target_fixture,
