Known red: a reassignment is lost with its session

Traced (seed 847): host 0 hands a target with two running attempts to host 4, which resumed 0.16 s before. Host 4's message to their coordinator, host 3, isn't delivered: the session between these two begins 3 ms later and drops what waited. Host 3 gives the job up as host 0 falls silent and cancels at host 0; host 4 hears host 3 and renews the lease; the resubmission runs beside it. Seed 655 is alike: host 2 drops its messages to the coordinator as it ends a silent session, at the time of the handover.

--- a/tests/unit/pool_isolation_walk_test.cpp
+++ b/tests/unit/pool_isolation_walk_test.cpp
@@ -597,6 +597,15 @@
              Catch::Equals(""));
 }
 
+// Listed in KNOWN-RED.txt.
+TEST_CASE("a reassignment is lost with its session: known red",
+          "[pool][!mayfail]") {
+  const std::uint64_t Seed = GENERATE(655U, 847U);
+  INFO("timers before events, seed " << Seed);
+  const walk_family Family = familyNamed("timers before events");
+  CHECK_THAT(isolation_walk(Family, Seed, false).run(), Catch::Equals(""));
+}
+
 // Hidden; prints the log lines of hosts and targets for one seed:
 // WALK_FAMILY="pauses" WALK_SEED=61 unit_tests "trace an isolation walk"
 TEST_CASE("trace an isolation walk", "[.]") {
