Evacuate failure domains that operators name in the store

The request is read with the configuration by one watch and one poll, told between hosts with the store's revision, and applied where owners choose the targets that get attempts. A host starts nothing before it has read the list, or read it again after a long pause. Targets that are cold get one task at a time. readItem and decodeItem had no caller left and are gone.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -138,6 +138,15 @@
 /// on their way.
 constexpr milliseconds WithdrawnJobTime{400};
 
+// Evacuated failure domains.
+/// After a longer pause a host starts nothing until it has read again which
+/// failure domains are evacuated.
+constexpr milliseconds EvacuationRecheckPause{1'000};
+/// It waits at most this long: the store may be out of reach.
+constexpr milliseconds EvacuationRecheckTime{600};
+/// Failure domains whose evacuations a host remembers; each state tells them.
+constexpr std::size_t MaxEvacuationRecords = 64;
+
 // Tasks that crash their targets.
 /// A job is given up once this many targets have crashed under one of its
 /// tasks.
--- a/include/tarragonbridge/pool/events.h
+++ b/include/tarragonbridge/pool/events.h
@@ -24,6 +24,13 @@
   std::vector<target_record> Upserted;
   std::vector<std::string> Removed;
 };
+/// The operators' requests to evacuate failure domains: a snapshot, which has
+/// those in force, or changes.
+struct evacuations_listed {
+  bool IsSnapshot = false;
+  std::uint64_t Revision = 0; ///< of the store, of a snapshot
+  std::vector<evacuation_record> Records;
+};
 /// Hosts as registered in the store: a snapshot or changes of it.
 struct members_listed {
   bool IsSnapshot = false;
@@ -118,11 +125,11 @@
 };
 struct timer_fired {};
 
-using event = std::variant<configuration_read, targets_listed, members_listed,
-                           member_registered, store_reachability, job_submitted,
-                           job_queried, caller_disconnected, readiness_queried,
-                           start_response, stop_response, renewal_response,
-                           datagram_received, shutdown_requested, timer_fired>;
+using event = std::variant<
+    configuration_read, evacuations_listed, targets_listed, members_listed,
+    member_registered, store_reachability, job_submitted, job_queried,
+    caller_disconnected, readiness_queried, start_response, stop_response,
+    renewal_response, datagram_received, shutdown_requested, timer_fired>;
 
 // Effects.
 
@@ -179,8 +186,11 @@
   milliseconds LongPollWait{};
   bool NewConnection = false;
 };
-/// Reads the configuration from the store again, beside the watch.
-struct reread_configuration {};
+/// Reads what operators have written, the configuration and the evacuations,
+/// from the store again, beside the watch.
+struct reread_configuration {
+  bool IsAfterNow = false; ///< a read that is in flight doesn't do
+};
 struct send_datagram {
   std::string Address;
   std::string Bytes;
--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -120,8 +120,11 @@
   std::uint32_t Slots = 0;           ///< tasks that its targets can run at once
   std::vector<target_free_capacity> Targets;
   crash_summary Crashes = {}; ///< of its targets, recently
-  /// Whether it can own targets: it is registered, and knows hosts and targets.
+  /// Whether it can own targets: it is registered, and knows hosts, targets and
+  /// evacuations.
   bool CanOwnTargets = true;
+  /// As this host last read or was told them, with those that have ended.
+  std::vector<evacuation_record> Evacuations = {};
 };
 
 /// A datagram between two hosts: the latest host state, reliable messages and
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -22,6 +22,9 @@
   bool BoundLeaseByCoordinatorContact = true;
   /// Attempts are stopped when their coordinator has timed out.
   bool StopOrphans = true;
+  /// Targets of evacuated failure domains get no new attempts, and a host
+  /// starts none before it knows which these are.
+  bool HonourEvacuations = true;
 };
 
 struct pool_init {
@@ -115,6 +118,8 @@
   std::uint64_t TargetsListed = 0;
   std::uint64_t PeersReachable = 0;
   std::int64_t ConfigurationVersion = 0;
+  std::uint64_t EvacuatedDomains = 0; ///< with listed targets
+  std::uint64_t EvacuatedTargets = 0; ///< listed ones
 };
 pool_metrics metricsOf(const pool_state &State, boot_time Now);
 
--- a/include/tarragonbridge/pool/types.h
+++ b/include/tarragonbridge/pool/types.h
@@ -61,6 +61,7 @@
   resource_vector Capacity;
   bool IsDraining = false;
   milliseconds DrainTimeLeft{}; ///< least time left while draining
+  milliseconds ColdTimeLeft{};  ///< it runs tasks slowly for so long
   /// Start of its process, Unix milliseconds. A later process may have a lower
   /// one, since clocks are set back.
   std::int64_t Incarnation = 0;
@@ -71,6 +72,17 @@
   bool operator==(const target_record &) const = default;
 };
 
+/// Whether operators want a failure domain to be evacuated: its targets then
+/// get no new attempts.
+struct evacuation_record {
+  std::string FailureDomain;
+  bool IsEvacuated = false;
+  /// Of the platform's store, when the request was written or removed.
+  std::uint64_t Revision = 0;
+
+  bool operator==(const evacuation_record &) const = default;
+};
+
 /// A step of a job: tasks with the same requirements and estimate.
 struct job_step {
   std::uint32_t Count = 0;
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -184,6 +184,7 @@
 
 void applyState(reducer_context &Ctx, peer_host &Peer, host_state &&HostState) {
   recordOwnershipChanges(Ctx, Peer.State.Targets, HostState.Targets);
+  learnEvacuations(Ctx, Peer.Member.Host.Name, HostState.Evacuations);
   Peer.HasState = true;
   Peer.State = std::move(HostState);
   Ctx.State.DepartedCrashes.erase(Peer.Member.Host);
--- a/src/core/pool/job_offers.cpp
+++ b/src/core/pool/job_offers.cpp
@@ -58,13 +58,15 @@
   return Owner;
 }
 
-/// Adds an owner's targets, less what is reserved there.
-void addFreeTargets(pool_view &View, const host_state &HostState,
+/// Adds an owner's targets, less what is reserved there. Its state may be older
+/// than the evacuation of a failure domain.
+void addFreeTargets(pool_view &View, const pool_state &State,
+                    const host_state &HostState,
                     const std::deque<peer_host::reservation> &Reservations) {
   const std::size_t Owner = View.Owners.size() - 1;
   const std::size_t First = View.FreeTargets.size();
   for (const target_free_capacity &FreeTarget : HostState.Targets) {
-    if (FreeTarget.IsSchedulable) {
+    if (FreeTarget.IsSchedulable && !isEvacuated(State, FreeTarget.Target)) {
       View.FreeTargets.push_back({Owner, FreeTarget.Target, FreeTarget.Service,
                                   FreeTarget.Free, FreeTarget.Speed});
     }
@@ -84,11 +86,11 @@
   View.TieBreakSeed = State.Random();
   const host_state Own = makeHostState(State, Now);
   View.Owners.push_back(makeSelfView(State, Own));
-  addFreeTargets(View, Own, {});
+  addFreeTargets(View, State, Own, {});
   for (const auto &[Name, Peer] : State.Peers) {
     if (auto Owner = makePeerView(State, Name, Peer, Now)) {
       View.Owners.push_back(std::move(*Owner));
-      addFreeTargets(View, Peer.State, Peer.Reservations);
+      addFreeTargets(View, State, Peer.State, Peer.Reservations);
     }
   }
   return View;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -132,7 +132,8 @@
   const bool IsScanDue =
       Owner.QueueScanDue ||
       Owner.QueueScannedAt + config::QueueScanInterval <= Ctx.Now;
-  if (Owner.Queue.empty() || !IsScanDue) {
+  if (Owner.Queue.empty() || !IsScanDue ||
+      !areEvacuationsKnown(Ctx.State, Ctx.Now)) {
     return;
   }
   Owner.QueueScanDue = false;
@@ -204,7 +205,8 @@
   });
 }
 
-/// Refuses the whole queue of a host that no longer owns a target.
+/// Refuses the whole queue of a host that owns no target any more, or only
+/// evacuated ones.
 void refuseAll(reducer_context &Ctx) {
   for (const queued_task &Task : std::exchange(Ctx.State.Owner.Queue, {})) {
     refuseTasks(Ctx, Task.Coordinator, {Task.Attempt});
@@ -344,7 +346,7 @@
   }
   startQueued(Ctx);
   refuseUnstarted(Ctx);
-  if (OwnedTargets.empty()) {
+  if (OwnedTargets.empty() || ownsOnlyEvacuated(Ctx.State)) {
     refuseAll(Ctx);
   }
   for (auto &[Id, OwnedTarget] : OwnedTargets) {
--- a/src/core/pool/owner_capacity.cpp
+++ b/src/core/pool/owner_capacity.cpp
@@ -46,6 +46,15 @@
   return 2 * static_cast<std::size_t>(Failing) > OwnedTargets.size();
 }
 
+/// @returns whether a target is cold and busy: it gets one task at a time, so
+/// that load returns to it by degrees
+bool isWarmingUp(const pool_state &State, const owned_target &OwnedTarget,
+                 boot_time Now) {
+  const auto Listed = State.Targets.find(OwnedTarget.record().Id);
+  return Listed != State.Targets.end() && Listed->second.ColdUntil > Now &&
+         !OwnedTarget.attempts().empty();
+}
+
 /// @returns the owned targets that get new attempts
 std::vector<const owned_target *> servingTargets(const pool_state &State,
                                                  boot_time Now) {
@@ -56,7 +65,10 @@
     const bool IsHealthy =
         IgnoresHealth || Health == health_state::Well ||
         (Health == health_state::Probing && OwnedTarget.attempts().empty());
-    if (OwnedTarget.isSchedulable() && IsHealthy) {
+    const std::string &Domain = OwnedTarget.record().FailureDomain;
+    if (OwnedTarget.isSchedulable() && IsHealthy &&
+        !isDomainEvacuated(State, Domain) &&
+        !isWarmingUp(State, OwnedTarget, Now)) {
       Serving.push_back(&OwnedTarget);
     }
   }
@@ -167,6 +179,7 @@
       predictQueueWait(State, Now).value_or(milliseconds(0));
   HostState.Crashes = ownCrashes(State);
   HostState.CanOwnTargets = canOwnTargets(State);
+  HostState.Evacuations = State.Evacuations.List.records();
   const auto Serving = servingTargets(State, Now);
   for (const auto &[Id, OwnedTarget] : State.Owner.OwnedTargets) {
     if (OwnedTarget.phase() == ownership_phase::Lost) {
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -263,7 +263,7 @@
 
 bool canOwnTargets(const pool_state &State) {
   return State.HasMemberSnapshot && State.HasTargetSnapshot &&
-         State.OwnerNumber != 0;
+         State.Evacuations.HasSnapshot && State.OwnerNumber != 0;
 }
 
 void handleTargets(reducer_context &Ctx, targets_listed &&Listed) {
@@ -288,6 +288,7 @@
   for (target_record &Record : Listed.Upserted) {
     listed_target &Target = State.Targets[Record.Id];
     Target.MissingSince.reset();
+    Target.ColdUntil = Ctx.Now + Record.ColdTimeLeft;
     if (Target.Record == Record) {
       continue;
     }
--- a/src/core/pool/pauses.cpp
+++ b/src/core/pool/pauses.cpp
@@ -27,6 +27,7 @@
            {"callers_unknown_ms",
             millisecondsText(until(Ctx.Now, Pause.CallersKnownAt))}});
   withdrawJobs(Ctx, Pause.CallersKnownAt);
+  recheckEvacuations(Ctx, until(Ctx.Now, Last));
   for (auto &[Id, OwnedTarget] : Ctx.State.Owner.OwnedTargets) {
     OwnedTarget.onResume(Ctx.Now);
   }
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -258,6 +258,23 @@
   return Crashes;
 }
 
+array encode(const std::vector<evacuation_record> &Evacuations) {
+  array Rows;
+  for (const evacuation_record &Record : Evacuations) {
+    Rows.emplace_back(
+        row(Record.FailureDomain, Record.IsEvacuated, Record.Revision));
+  }
+  return Rows;
+}
+std::vector<evacuation_record> decodeEvacuations(const value &Rows) {
+  std::vector<evacuation_record> Evacuations;
+  for (const value &Row : Rows.as_array()) {
+    Evacuations.push_back({decodeText(at(Row, 0)), at(Row, 1).as_bool(),
+                           decodeUint64(at(Row, 2))});
+  }
+  return Evacuations;
+}
+
 array encode(const host_state &State) {
   array Targets;
   for (const target_free_capacity &FreeCapacity : State.Targets) {
@@ -268,7 +285,8 @@
   }
   return row(State.IsShuttingDown, std::int64_t(State.ConfigurationVersion),
              encodeTime(State.PredictedQueueWait), State.Slots, Targets,
-             encode(State.Crashes), State.CanOwnTargets);
+             encode(State.Crashes), State.CanOwnTargets,
+             encode(State.Evacuations));
 }
 host_state decodeState(const value &Row) {
   host_state State{at(Row, 0).as_bool(),
@@ -284,6 +302,10 @@
   constexpr std::size_t CanOwnIndex = 6;
   State.CanOwnTargets =
       Row.as_array().size() <= CanOwnIndex || at(Row, CanOwnIndex).as_bool();
+  constexpr std::size_t EvacuationsIndex = 7;
+  if (Row.as_array().size() > EvacuationsIndex) {
+    State.Evacuations = decodeEvacuations(at(Row, EvacuationsIndex));
+  }
   for (const value &FreeCapacity : at(Row, 4).as_array()) {
     State.Targets.push_back(
         {decodeText(at(FreeCapacity, 0)), decodeText(at(FreeCapacity, 1)),
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -35,6 +35,10 @@
   handleTargets(Ctx, std::move(Listed));
 }
 
+void handle(reducer_context &Ctx, evacuations_listed &&Listed) {
+  handleEvacuations(Ctx, std::move(Listed));
+}
+
 void handle(reducer_context &Ctx, members_listed &&Listed) {
   handleMembers(Ctx, std::move(Listed));
 }
@@ -304,6 +308,14 @@
         return peerReceivedWithin(Entry.second, Now, config::HostTimeout);
       }));
   Metrics.ConfigurationVersion = State.Configuration.Version;
+  std::set<std::string_view> EvacuatedDomains;
+  for (const auto &[Id, Target] : State.Targets) {
+    if (State.Evacuations.List.isEvacuated(Target.Record.FailureDomain)) {
+      EvacuatedDomains.insert(Target.Record.FailureDomain);
+      ++Metrics.EvacuatedTargets;
+    }
+  }
+  Metrics.EvacuatedDomains = EvacuatedDomains.size();
   return Metrics;
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -3,6 +3,7 @@
 
 #include "core/pool/counters_p.h"
 #include "core/pool/crash_log_p.h"
+#include "core/pool/evacuations_p.h"
 #include "core/pool/owned_target_p.h"
 #include "core/pool/peer_link_p.h"
 #include "core/pool/placement_p.h"
@@ -78,6 +79,7 @@
 
   speed_estimate Speed;
   boot_time SpeedMeasuredAt; ///< when the speed was last measured
+  boot_time ColdUntil;       ///< it runs tasks slowly until then
 };
 
 /// Moving mean of the resources that tasks require.
@@ -212,6 +214,7 @@
   boot_time ConfigurationPolledAt; ///< in addition to the watch
   boot_time OverdueScanAt;         ///< next scan for overdue attempts
   std::map<std::string, listed_target, std::less<>> Targets;
+  evacuation_state Evacuations;
   /// Rises when targets are added, moved or removed.
   std::uint64_t TargetListVersion = 1;
   assignment_state Assignment;
@@ -320,6 +323,24 @@
 /// Hands over every target to another host. @returns whether none is left
 bool handOverAll(reducer_context &Ctx);
 
+// Module evacuations: failure domains that get no new attempts.
+
+void handleEvacuations(reducer_context &Ctx, evacuations_listed &&Listed);
+/// Takes over what a peer knows later than this host.
+void learnEvacuations(reducer_context &Ctx, const std::string &Peer,
+                      const std::vector<evacuation_record> &Records);
+/// After a pause: reads the evacuations again.
+void recheckEvacuations(reducer_context &Ctx, milliseconds PauseTime);
+/// @returns whether this host knows which failure domains are evacuated, so
+/// that it may start attempts
+bool areEvacuationsKnown(const pool_state &State, boot_time Now);
+/// @returns whether targets of a failure domain get no new attempts
+bool isDomainEvacuated(const pool_state &State, std::string_view FailureDomain);
+/// @returns whether a target is listed in such a failure domain
+bool isEvacuated(const pool_state &State, std::string_view Target);
+/// @returns whether this host owns targets, all in evacuated failure domains
+bool ownsOnlyEvacuated(const pool_state &State);
+
 // Module owner: tasks on the owned targets.
 
 void handleOffer(reducer_context &Ctx, const host_ref &From,
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -273,8 +273,8 @@
       });
 }
 
-void program::execute(pool::reread_configuration &&) {
-  StoreWatcher.rereadConfiguration();
+void program::execute(pool::reread_configuration &&Reread) {
+  StoreWatcher.rereadOperatorItems(Reread.IsAfterNow);
 }
 
 void program::execute(pool::send_datagram &&Datagram) {
@@ -309,6 +309,8 @@
   Add("targets_listed", HostMetrics.TargetsListed);
   Add("peers_heard", HostMetrics.PeersReachable);
   Add("configuration_version", HostMetrics.ConfigurationVersion);
+  Add("failure_domains_evacuated", HostMetrics.EvacuatedDomains);
+  Add("targets_evacuated", HostMetrics.EvacuatedTargets);
   Add("store_calls_total", StoreWatcher.requestCount());
   Add("store_calls_failed_total", StoreWatcher.failedRequestCount());
   Add("connections_opened_total", Client.openedConnections());
--- a/src/poolhost/store_watcher.cpp
+++ b/src/poolhost/store_watcher.cpp
@@ -51,8 +51,8 @@
                              invalid_item_handler OnInvalidItem)
     : Client(HttpClient), Init(std::move(Init)), OnEvent(std::move(OnEvent)),
       OnInvalidItem(std::move(OnInvalidItem)) {
-  Configuration.Prefix = platform::ConfigurationKey;
-  Configuration.Wait = config::WatchWait;
+  OperatorItems.Prefix = platform::OperatorPrefix;
+  OperatorItems.Wait = config::WatchWait;
   Targets.Prefix = platform::TargetsPrefix;
   Targets.Wait = config::TargetsWatchWait;
   Targets.MinInterval = config::MinTargetsWatchInterval;
@@ -97,7 +97,7 @@
 }
 
 void store_watcher::onTimer(boot_time Now) {
-  for (watched_prefix *Watched : {&Configuration, &Targets, &Members}) {
+  for (watched_prefix *Watched : {&OperatorItems, &Targets, &Members}) {
     if (!Watched->IsRequestInFlight && Watched->DueAt <= Now) {
       readOrWatch(*Watched);
     }
@@ -109,7 +109,7 @@
 
 boot_time store_watcher::nextDueAt() const {
   boot_time Due = boot_time::max();
-  for (const watched_prefix *Watched : {&Configuration, &Targets, &Members}) {
+  for (const watched_prefix *Watched : {&OperatorItems, &Targets, &Members}) {
     if (!Watched->IsRequestInFlight) {
       Due = std::min(Due, Watched->DueAt);
     }
@@ -215,12 +215,8 @@
 void store_watcher::deliver(const watched_prefix &Watched,
                             const platform::store_items &Items,
                             bool IsSnapshot) {
-  if (&Watched == &Configuration) {
-    for (const platform::store_item &Item : Items.Items) {
-      if (!Item.IsRemoved && Item.Key == platform::ConfigurationKey) {
-        deliverConfiguration(Item);
-      }
-    }
+  if (&Watched == &OperatorItems) {
+    deliverOperatorItems(Items, IsSnapshot);
     return;
   }
   if (&Watched == &Targets) {
@@ -295,6 +291,37 @@
   return Target;
 }
 
+void store_watcher::deliverOperatorItems(const platform::store_items &Items,
+                                         bool IsSnapshot) {
+  deliverEvacuations(Items, IsSnapshot);
+  for (const auto &[Key, Last] : lastItems(Items)) {
+    if (!Last->IsRemoved && Key == platform::ConfigurationKey) {
+      deliverConfiguration(*Last);
+    }
+  }
+}
+
+void store_watcher::deliverEvacuations(const platform::store_items &Items,
+                                       bool IsSnapshot) {
+  pool::evacuations_listed Event;
+  Event.IsSnapshot = IsSnapshot;
+  Event.Revision = Items.Revision;
+  for (const auto &[Key, Last] : lastItems(Items)) {
+    if (!Key.starts_with(platform::EvacuationsPrefix)) {
+      continue;
+    }
+    std::string ErrorMessage;
+    if (auto Evacuation = decodeOr(ErrorMessage, [Item = Last] {
+          return platform::decodeEvacuation(*Item);
+        })) {
+      Event.Records.push_back(std::move(*Evacuation));
+    } else {
+      OnInvalidItem(Last->Key, ErrorMessage);
+    }
+  }
+  OnEvent(std::move(Event));
+}
+
 void store_watcher::deliverConfiguration(const platform::store_item &Item) {
   if (Item.Revision == ConfigurationRevision) {
     return;
@@ -310,24 +337,31 @@
   OnEvent(pool::configuration_read{std::move(*Decoded)});
 }
 
-void store_watcher::rereadConfiguration() {
+void store_watcher::rereadOperatorItems(bool IsAfterNow) {
   if (IsRereadInFlight) {
+    IsRereadDue = IsRereadDue || IsAfterNow;
     return;
   }
   IsRereadInFlight = true;
-  sendRequest(platform::readItem(platform::ConfigurationKey),
-              config::StoreTimeout, [this](received_response &&Response) {
-                IsRereadInFlight = false;
-                std::string ErrorMessage;
-                if (Response.Status != StatusOk) {
-                  return;
-                }
-                if (const auto Item = decodeOr(ErrorMessage, [&] {
-                      return platform::decodeItem(Response.Body);
-                    })) {
-                  deliverConfiguration(*Item);
-                }
-              });
+  sendRequest(platform::readRange(platform::OperatorPrefix, ""),
+              config::StoreTimeout,
+              [this](received_response &&Response) { onReread(Response); });
+}
+
+void store_watcher::onReread(const received_response &Response) {
+  IsRereadInFlight = false;
+  if (std::exchange(IsRereadDue, false)) {
+    rereadOperatorItems(true);
+    return;
+  }
+  std::string ErrorMessage;
+  if (Response.Status != StatusOk) {
+    return;
+  }
+  if (const auto Items = decodeOr(
+          ErrorMessage, [&] { return platform::decodeRange(Response.Body); })) {
+    deliverOperatorItems(*Items, !Items->IsTruncated);
+  }
 }
 
 void store_watcher::renewOrRegister() {
--- a/src/poolhost/store_watcher.h
+++ b/src/poolhost/store_watcher.h
@@ -1,4 +1,4 @@
-/// Watches the configuration, targets and hosts in the platform's store, and
+/// Watches what operators write, targets and hosts in the platform's store, and
 /// keeps this host registered there under a lease.
 #pragma once
 
@@ -33,8 +33,12 @@
   boot_time nextDueAt() const;
   /// Revokes the registration's lease, and stops renewing it.
   void unregister();
-  /// Reads the configuration in addition to its watch, which may miss a change.
-  void rereadConfiguration();
+  /// Reads what operators have written in addition to its watch, which may miss
+  /// a change.
+  ///
+  /// @param[in] IsAfterNow whether a read that is in flight doesn't do: its
+  /// response may be from before a pause of this process
+  void rereadOperatorItems(bool IsAfterNow);
 
   std::uint64_t requestCount() const { return RequestCount; }
   std::uint64_t failedRequestCount() const { return FailedRequestCount; }
@@ -74,7 +78,12 @@
   std::optional<pool::target_record>
   decodeTargetIfChanged(const platform::store_item &Item,
                         std::string &ErrorMessage);
+  /// Delivers the configuration and the evacuations.
+  void deliverOperatorItems(const platform::store_items &Items,
+                            bool IsSnapshot);
+  void deliverEvacuations(const platform::store_items &Items, bool IsSnapshot);
   void deliverConfiguration(const platform::store_item &Item);
+  void onReread(const received_response &Response);
   void renewOrRegister();
   void grantMemberLease();
   void writeMember();
@@ -89,11 +98,12 @@
   store_watcher_init Init;
   event_handler OnEvent;
   invalid_item_handler OnInvalidItem;
-  watched_prefix Configuration;
+  watched_prefix OperatorItems;
   watched_prefix Targets;
   watched_prefix Members;
   std::map<std::string, cached_target> CachedTargets; ///< by key
   bool IsRereadInFlight = false;
+  bool IsRereadDue = false;                ///< another one, asked for meanwhile
   std::uint64_t ConfigurationRevision = 0; ///< of the last delivery
   boot_time MemberDueAt;
   bool IsMemberRequestInFlight = false;
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -95,6 +95,10 @@
       {replaced(Target, "32000", "1.5"), "cpu"},
       {replaced(Target, R"("born":1700)", R"("born":true)"), "born"},
       {replaced(Target, R"(["a","r1"])", "null"), "labels"},
+      {replaced(Target, R"("born":1700)", R"("born":1700,"coldMs":12.5)"), ""},
+      {replaced(Target, R"("born":1700)", R"("born":1700,"coldMs":-1)"), ""},
+      {replaced(Target, R"("born":1700)", R"("born":1700,"coldMs":"x")"),
+       "coldMs"},
   }));
   INFO(Case.Value);
   const store_item Item{"servers/i-1", Case.Value, 5, false};
--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -258,9 +258,14 @@
           "[pool]") {
   datagram Sent;
   Sent.From = {"a", 1ULL << 52U};
-  const host_state State{
-      true, 7, 12ms, 3, {{"t", "desk", Half, 0.5}}, {{{"j", 0, 2}, {1, 2}}},
-      false};
+  const host_state State{true,
+                         7,
+                         12ms,
+                         3,
+                         {{"t", "desk", Half, 0.5}},
+                         {{{"j", 0, 2}, {1, 2}}},
+                         false,
+                         {{"d", true, 6}, {"e", false, 7}}};
   Sent.AckedStateNumber = 9;
   Sent.Messages.push_back(
       {4, task_offer{"j",
@@ -279,6 +284,7 @@
   CHECK(Read->State->Targets.at(0).Speed == 0.5);
   CHECK(Read->State->Crashes == State.Crashes);
   CHECK_FALSE(Read->State->CanOwnTargets);
+  CHECK(Read->State->Evacuations == State.Evacuations);
   CHECK(std::get<task_offer>(Read->Messages[0].Message).Tasks[0].Task == 2);
   CHECK(std::get<task_ended>(Read->Messages[1].Message).Outcome ==
         attempt_outcome::Crashed);
@@ -290,6 +296,8 @@
   // Of earlier versions.
   CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[],[]]"))
             ->State->CanOwnTargets);
+  CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[],[],true]"))
+            ->State->Evacuations.empty());
   CHECK(decodeDatagram(encodeDatagram(Sent, "[true,7,12,3,[]]"))
             ->State->Crashes.empty());
   const auto Earlier =
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -55,6 +55,8 @@
   using kind = emulator::target_event::kind;
   const bool IsStart = Event.Kind == kind::Started;
   StartCount += IsStart ? 1 : 0;
+  StartsByDomain[Targets.at(Event.Target).init().FailureDomain] +=
+      IsStart ? 1 : 0;
   const char *Name = IsStart                       ? "run_started"
                      : Event.Kind == kind::Crashed ? "crashed"
                                                    : "run_ended";
@@ -216,6 +218,9 @@
 void pool_simulation::sendSnapshots(std::size_t Host) {
   simulated_host &Simulated = Hosts[Host];
   post(Host, store_reachability{true});
+  if (!CutFromOperators.contains(Host)) {
+    post(Host, evacuationSnapshot());
+  }
   post(Host, configuration_read{makeConfiguration()});
   postTargets(Host, listTargets());
   post(Host, membersWithout({}));
@@ -441,6 +446,54 @@
   deliverSnapshots();
 }
 
+evacuations_listed pool_simulation::evacuationSnapshot() const {
+  evacuations_listed Listed{true, StoreRevision, {}};
+  for (const auto &[FailureDomain, Record] : Evacuations) {
+    Listed.Records.push_back(Record);
+  }
+  return Listed;
+}
+
+void pool_simulation::setEvacuated(const std::string &FailureDomain,
+                                   bool IsEvacuated, bool IsWatched) {
+  constexpr milliseconds WatchLatency{5};
+  trace("operators",
+        {IsEvacuated ? "evacuate" : "take_back", {{"domain", FailureDomain}}});
+  const evacuation_record Record{FailureDomain, IsEvacuated, ++StoreRevision};
+  if (IsEvacuated) {
+    Evacuations[FailureDomain] = Record;
+  } else {
+    Evacuations.erase(FailureDomain);
+  }
+  Checker.noteEvacuation(FailureDomain, IsEvacuated, Now);
+  for (std::size_t Host = 0; IsWatched && Host < Hosts.size(); ++Host) {
+    at(Now + WatchLatency,
+       [this, Host, Record, Generation = Hosts[Host].Generation] {
+         if (Hosts[Host].Generation == Generation &&
+             !CutFromOperators.contains(Host)) {
+           post(Host, evacuations_listed{false, Record.Revision, {Record}});
+         }
+       });
+  }
+}
+
+void pool_simulation::cutFromOperators(std::size_t Host) {
+  trace(hostName(Host), {"cut", {{"from", "operators"}}});
+  CutFromOperators.insert(Host);
+}
+
+void pool_simulation::restoreOperators(std::size_t Host) {
+  trace(hostName(Host), {"restored", {{"to", "operators"}}});
+  CutFromOperators.erase(Host);
+  post(Host, evacuationSnapshot());
+}
+
+std::uint64_t
+pool_simulation::startsIn(const std::string &FailureDomain) const {
+  const auto Found = StartsByDomain.find(FailureDomain);
+  return Found == StartsByDomain.end() ? 0 : Found->second;
+}
+
 void pool_simulation::removeTarget(const std::string &Target) {
   Targets.at(Target).crash(Now, 0);
   Targets.erase(Target);
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -132,6 +132,8 @@
   }
   /// @returns how often hosts polled the configuration
   std::uint64_t configurationReads() const { return ConfigurationReads; }
+  /// @returns the requests of operators that are in force
+  evacuations_listed evacuationSnapshot() const;
   /// Sends new snapshots of hosts and targets; dead hosts aren't listed.
   void deliverSnapshots();
   void deliverSnapshot(std::size_t Host);
@@ -145,6 +147,15 @@
   /// Whether snapshots omit a target, whose registration has expired.
   void setUnlisted(std::size_t Target, bool IsUnlisted);
   void setDraining(const std::string &Target);
+  /// Operators evacuate a failure domain, or take it back. Unwatched: the
+  /// watches miss the change.
+  void setEvacuated(const std::string &FailureDomain, bool IsEvacuated,
+                    bool IsWatched = true);
+  /// Between the calls the store tells the host nothing of evacuations.
+  void cutFromOperators(std::size_t Host);
+  void restoreOperators(std::size_t Host);
+  /// @returns the attempts started in a failure domain so far
+  std::uint64_t startsIn(const std::string &FailureDomain) const;
   void removeTarget(const std::string &Target);
   /// Changes a target's capacity while it runs, and lists it.
   void setCapacity(std::size_t Index, const resource_vector &Capacity);
@@ -197,6 +208,7 @@
   void execute(std::size_t Host, stop_attempt &&Stop);
   void execute(std::size_t Host, renew_target_lease &&Renewal);
   void execute(std::size_t Host, send_datagram &&Datagram);
+  void respondToReread(std::size_t Host, std::uint64_t Generation);
   void respondToRenewal(std::size_t Host, std::uint64_t Generation,
                         renew_target_lease Renewal, boot_time Until);
   /// Delivers a response if the process that sent the request still runs.
@@ -264,6 +276,10 @@
   std::set<std::string> TargetsWithUnknownRestarts;
   std::int64_t ConfigurationVersion = 1;
   std::uint64_t ConfigurationReads = 0;
+  std::map<std::string, evacuation_record> Evacuations; ///< in force
+  std::uint64_t StoreRevision = 1;
+  std::set<std::size_t> CutFromOperators; ///< hosts
+  std::map<std::string, std::uint64_t> StartsByDomain;
   std::uint64_t StartCount = 0;
   std::uint64_t LastOwnerNumber = 100;
   emulator::rules_checker Checker;
--- a/tests/unit/pool_simulation_effects.cpp
+++ b/tests/unit/pool_simulation_effects.cpp
@@ -31,8 +31,7 @@
   } else if (std::holds_alternative<reread_configuration>(Effect)) {
     ++ConfigurationReads;
     at(Now + StoreLatency, [this, Host, Generation = Hosts[Host].Generation] {
-      deliverResponse(Host, Generation,
-                      configuration_read{makeConfiguration()});
+      respondToReread(Host, Generation);
     });
   } else if (const auto *Line = std::get_if<log_line>(&Effect)) {
     trace(hostName(Host), *Line);
@@ -42,6 +41,21 @@
   }
 }
 
+void pool_simulation::respondToReread(std::size_t Host,
+                                      std::uint64_t Generation) {
+  const microseconds Delay =
+      randomDelayOr(Faults.SlowResponses, Faults.MaxResponseDelay);
+  at(Now + Delay, [this, Host, Generation, Evacuations = evacuationSnapshot(),
+                   Configuration = makeConfiguration()]() mutable {
+    if (Hosts[Host].Generation != Generation || !mayRespond(Host, {}) ||
+        CutFromOperators.contains(Host)) {
+      return;
+    }
+    post(Host, std::move(Evacuations));
+    post(Host, configuration_read{std::move(Configuration)});
+  });
+}
+
 microseconds pool_simulation::lateDelay() {
   constexpr milliseconds MinDelay{100};
   return std::chrono::duration_cast<microseconds>(
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -47,6 +47,16 @@
     Server.respond(*TargetsWatch, {200, R"({"events":[],"at":5})", {}});
     TargetsWatch.reset();
   }
+  /// Answers reads of what operators wrote from now on, and has it read again.
+  void setOperatorItems(const std::string &Items) {
+    OperatorRange = R"({"items":[)" + Items + R"(],"truncated":false,"at":9})";
+    Evacuations.clear();
+    Watcher.rereadOperatorItems(true);
+  }
+  const std::vector<pool::evacuations_listed> &evacuations() const {
+    return Evacuations;
+  }
+  const std::vector<std::string> &refused() const { return Refused; }
   bool hasTargetsWatch() const { return TargetsWatch.has_value(); }
   std::size_t deliveries() const { return Deliveries; }
   std::uint64_t requestCount() const { return Watcher.requestCount(); }
@@ -58,7 +68,10 @@
     return Init;
   }
   void receive(request_handle Request, const server_request &Received) {
-    if (Received.Path == "/-/kv-range") {
+    if (Received.Path == "/-/kv-range" &&
+        Received.Query.at("prefix") == platform::OperatorPrefix) {
+      Server.respond(Request, {200, OperatorRange, {}});
+    } else if (Received.Path == "/-/kv-range") {
       Server.respond(Request,
                      {200, R"({"items":[],"truncated":false,"at":5})", {}});
     } else if (Received.Path == "/-/kv-watch" &&
@@ -72,14 +85,22 @@
   async_http_client Client{Loop, 6};
   async_http_server Server{Loop, serverInit(Address)};
   std::optional<request_handle> TargetsWatch;
+  std::string OperatorRange = R"({"items":[],"truncated":false,"at":5})";
+  std::vector<pool::evacuations_listed> Evacuations;
+  std::vector<std::string> Refused;
   std::size_t Deliveries = 0;
   store_watcher Watcher{
       Client,
       {Address, {}},
       [this](pool::event &&Event) {
         Deliveries += std::holds_alternative<pool::targets_listed>(Event);
+        if (auto *Listed = std::get_if<pool::evacuations_listed>(&Event)) {
+          Evacuations.push_back(std::move(*Listed));
+        }
       },
-      [](const std::string &, const std::string &) {}};
+      [this](const std::string &Key, const std::string &) {
+        Refused.push_back(Key);
+      }};
 };
 } // namespace
 
@@ -97,3 +118,28 @@
   runUntil([&] { return deliveries() > Before; });
   CHECK(requestCount() > RequestsBefore);
 }
+
+TEST_CASE_METHOD(store_fixture, "evacuations are read beside the configuration",
+                 "[pool]") {
+  const auto IsRead = [this] {
+    return !evacuations().empty() && evacuations().back().Revision == 9;
+  };
+  runUntil([this] { return !evacuations().empty(); });
+  CHECK(evacuations().front().IsSnapshot);
+  CHECK(evacuations().front().Records.empty());
+
+  setOperatorItems(
+      R"({"key":"op/config","value":"e30=","revision":4},)"
+      R"({"key":"op/evacuate/","value":"e30=","revision":5},)"
+      R"({"key":"op/evacuate/a\u0001","value":"e30=","revision":6},)"
+      R"({"key":"op/evacuate/b","value":"!","revision":7},)"
+      R"({"key":"op/evacuate/east","value":"","revision":8},)"
+      R"({"key":"op/wave/1","value":"e30=","revision":9})");
+  runUntil(IsRead);
+  CHECK(evacuations().back().IsSnapshot);
+  CHECK(evacuations().back().Records ==
+        std::vector<pool::evacuation_record>{{"east", true, 8}});
+  CHECK(refused() == std::vector<std::string>{"op/evacuate/",
+                                              "op/evacuate/a\x01",
+                                              "op/evacuate/b", "op/config"});
+}
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds ConfigurationBound{2'000};
 constexpr milliseconds CancelBound{3'000};
 constexpr milliseconds DrainBound{2'000};
+constexpr milliseconds EvacuationBound{5'000};
+constexpr std::string_view EvacuationsPrefix = "op/evacuate/";
 constexpr milliseconds ProbeInterval{250};
 constexpr long MaxConnectionsPerHost = 64;
 constexpr std::string_view HostName = "desk.example";
@@ -24,7 +26,7 @@
 
 platform_emulator::platform_emulator(const emulator_init &Given)
     : Init(Given), Calls(Loop, MaxConnectionsPerHost),
-      Checker(CancelBound, DrainBound),
+      Checker(CancelBound, DrainBound, EvacuationBound),
       Store(Loop, Schedule, Init.StoreAddress, Init.Seed),
       Admin(Loop, {Init.AdminAddress, ""}) {
   for (std::size_t Index = 0; Index < Init.Targets.size(); ++Index) {
@@ -264,6 +266,10 @@
 
 void platform_emulator::writeEntry(const Json::Value &Order) {
   const std::string Key = Order["key"].asString();
+  if (Key.starts_with(EvacuationsPrefix)) {
+    Checker.noteEvacuation(Key.substr(EvacuationsPrefix.size()),
+                           Order.isMember("value"), bootNow());
+  }
   if (Order.isMember("value")) {
     Store.write(Key, Order["value"].asString());
     return;
--- a/tools/emulator/rules.cpp
+++ b/tools/emulator/rules.cpp
@@ -14,9 +14,9 @@
 } // namespace
 
 std::string_view nameOf(rule Rule) {
-  static constexpr std::array<std::string_view, 9> Names = {
+  static constexpr std::array<std::string_view, 10> Names = {
       "LIMIT", "TWICE", "UNASKED", "REFUSED", "BUDGET",
-      "ROUTE", "DRAIN", "CONFIG",  "LOST"};
+      "ROUTE", "DRAIN", "EVAC",    "CONFIG",  "LOST"};
   return Names.at(static_cast<std::size_t>(Rule));
 }
 
@@ -54,6 +54,15 @@
   DrainingSince.emplace(Target, At);
 }
 
+void rules_checker::noteEvacuation(const std::string &FailureDomain,
+                                   bool IsEvacuated, boot_time At) {
+  if (IsEvacuated) {
+    EvacuatedSince.emplace(FailureDomain, At);
+  } else {
+    EvacuatedSince.erase(FailureDomain);
+  }
+}
+
 void rules_checker::noteOldConfiguration(const std::string &What,
                                          boot_time At) {
   add(rule::Config, At, What);
@@ -105,6 +114,11 @@
       Event.At > Draining->second + DrainBound) {
     add(rule::Drain, Event.At, What);
   }
+  const auto Evacuated = EvacuatedSince.find(Target.FailureDomain);
+  if (Evacuated != EvacuatedSince.end() &&
+      Event.At > Evacuated->second + EvacuationBound) {
+    add(rule::Evacuation, Event.At, What);
+  }
   const task_key Task{Attempt.Job, Attempt.Step, Attempt.Task};
   if (!Running[Task].empty()) {
     add(rule::Twice, Event.At,
--- a/tools/emulator/rules.h
+++ b/tools/emulator/rules.h
@@ -19,8 +19,10 @@
            ///< starts after three targets crashed under the task
   Route,   ///< a start at a service that the route never named
   Drain,   ///< a start at a target that has been leaving for longer
-  Config,  ///< an answer by a configuration that is no longer in force
-  Lost,    ///< a request cut off by planned work
+  Evacuation, ///< a start in a failure domain that has been evacuated for
+              ///< longer
+  Config,     ///< an answer by a configuration that is no longer in force
+  Lost,       ///< a request cut off by planned work
 };
 std::string_view nameOf(rule Rule);
 
@@ -42,8 +44,10 @@
 class rules_checker {
 public:
   /// Past the bound a cancelled job's task may not start.
-  explicit rules_checker(milliseconds CancelBound, milliseconds DrainBound)
-      : CancelBound(CancelBound), DrainBound(DrainBound) {}
+  explicit rules_checker(milliseconds CancelBound, milliseconds DrainBound,
+                         milliseconds EvacuationBound = milliseconds(5'000))
+      : CancelBound(CancelBound), DrainBound(DrainBound),
+        EvacuationBound(EvacuationBound) {}
 
   void addTarget(const target_model_init &Target);
   void noteSubmitted(const submitted_job &Job);
@@ -54,6 +58,8 @@
   void noteCut(const std::string &Job, bool IsPlanned, boot_time At);
   void noteCancelled(const std::string &Job, boot_time At);
   void noteDraining(const std::string &Target, boot_time At);
+  void noteEvacuation(const std::string &FailureDomain, bool IsEvacuated,
+                      boot_time At);
   void
   noteTarget(const target_event &Event,
              const std::function<task_profile(const attempt_ref &)> &ProfileOf);
@@ -94,8 +100,10 @@
 
   milliseconds CancelBound;
   milliseconds DrainBound;
+  milliseconds EvacuationBound;
   std::map<std::string, target_model_init> Targets;
   std::map<std::string, boot_time> DrainingSince;
+  std::map<std::string, boot_time> EvacuatedSince; ///< by failure domain
   std::map<std::string, job_record> Jobs;
   std::map<std::string, resource_vector> Used; ///< by target
   std::map<task_key, std::map<run_key, resource_vector>> Running;
--- a/tools/fuzz/parse_fuzz.cpp
+++ b/tools/fuzz/parse_fuzz.cpp
@@ -71,7 +71,6 @@
 // The platform's wire.
 
 void fuzzStoreItem(std::string_view Text) {
-  attempt([&] { return platform::decodeItem(Text); });
   attempt([&] { return platform::decodeLease(Text); });
   attempt([&] { return platform::decodeWrite(Text); });
 }
