Evacuation: review findings

Cold targets get one task at a time within one scan too, and no longer vanish from their owner's slots; an old entry doesn't make a target cold again. Coordinators don't queue at evacuated owners. With all failure domains evacuated jobs are refused at once, with a reason and a counter of their own. A recheck after a pause isn't ended by a read from before it, offers nothing meanwhile, and is left out when the store was lost. Requests for unknown failure domains are neither kept nor told to peers, a record whose end this host's list shows isn't believed, long lists are read to their end, and unreadable requests are reported once.

With the recheck taken out the test of the resumed host fails (4 of 8 checks), with the cold rule taken out that of the cold target.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -144,7 +144,8 @@
 constexpr milliseconds EvacuationRecheckPause{1'000};
 /// It waits at most this long: the store may be out of reach.
 constexpr milliseconds EvacuationRecheckTime{600};
-/// Failure domains whose evacuations a host remembers; each state tells them.
+/// Failure domains whose evacuations a host remembers and tells with each
+/// state; requests for unknown ones that it logs.
 constexpr std::size_t MaxEvacuationRecords = 64;
 
 // Tasks that crash their targets.
--- a/include/tarragonbridge/pool/events.h
+++ b/include/tarragonbridge/pool/events.h
@@ -30,6 +30,7 @@
   bool IsSnapshot = false;
   std::uint64_t Revision = 0; ///< of the store, of a snapshot
   std::vector<evacuation_record> Records;
+  boot_time ReadAt; ///< when the store was asked, at the latest
 };
 /// Hosts as registered in the store: a snapshot or changes of it.
 struct members_listed {
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -71,7 +71,8 @@
   RefusedOverloaded,
   RefusedShuttingDown,
   RefusedDuplicate,
-  RefusedSuspect, ///< targets are silent since they started a task of the job
+  RefusedSuspect,   ///< targets are silent since they started a task of the job
+  RefusedEvacuated, ///< all failure domains are evacuated
   GivenUpLate,
   GivenUpAttempts,
   GivenUpCrashes, ///< targets crashed under a task of the job
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -184,7 +184,6 @@
 
 void applyState(reducer_context &Ctx, peer_host &Peer, host_state &&HostState) {
   recordOwnershipChanges(Ctx, Peer.State.Targets, HostState.Targets);
-  learnEvacuations(Ctx, Peer.Member.Host.Name, HostState.Evacuations);
   Peer.HasState = true;
   Peer.State = std::move(HostState);
   Ctx.State.DepartedCrashes.erase(Peer.Member.Host);
@@ -220,6 +219,9 @@
   // Each side counts as alive once the other has acknowledged a state of it, so
   // the first datagrams are responded to at once.
   Peer->NeedsState |= Peer->LastReceivedAt == boot_time{};
+  if (Datagram.State) { // also if it is late: of two records the later counts
+    learnEvacuations(Ctx, Datagram.From.Name, Datagram.State->Evacuations);
+  }
   const auto AckedSentAt = ackedStateSentAt(Ctx, Datagram);
   if (!AckedSentAt) {
     return; // sent before this host was paused, or the sender gets none from it
--- a/src/core/pool/evacuations.cpp
+++ b/src/core/pool/evacuations.cpp
@@ -11,7 +11,9 @@
 bool evacuation_list::apply(const evacuation_record &Record) {
   const auto Found = Records.find(Record.FailureDomain);
   if (Found == Records.end()) {
-    evictEnded();
+    if (!makeRoom()) {
+      return false;
+    }
     Records.emplace(Record.FailureDomain, Record);
     EvacuatedCount += Record.IsEvacuated ? 1 : 0;
     return Record.IsEvacuated;
@@ -44,9 +46,9 @@
   return Ended;
 }
 
-void evacuation_list::evictEnded() {
+bool evacuation_list::makeRoom() {
   if (Records.size() < config::MaxEvacuationRecords) {
-    return;
+    return true;
   }
   auto Earliest = Records.end();
   for (auto Entry = Records.begin(); Entry != Records.end(); ++Entry) {
@@ -56,9 +58,11 @@
       Earliest = Entry;
     }
   }
-  if (Earliest != Records.end()) {
-    Records.erase(Earliest);
+  if (Earliest == Records.end()) {
+    return false;
   }
+  Records.erase(Earliest);
+  return true;
 }
 
 bool evacuation_list::isEvacuated(std::string_view FailureDomain) const {
@@ -93,20 +97,25 @@
              });
 }
 
-/// @param[in] Source the store, or the host that told of the change
-void noteChange(reducer_context &Ctx, const evacuation_record &Record,
-                const std::string &Source) {
-  pool_state &State = Ctx.State;
-  State.Owner.markCapacityChanged();
-  const bool IsUnknown = State.HasTargetSnapshot && State.HasMemberSnapshot &&
-                         !isKnownDomain(State, Record.FailureDomain);
-  if (IsUnknown) {
+/// Logs a request for an unknown failure domain, once.
+void logIgnored(reducer_context &Ctx, const evacuation_record &Record) {
+  auto &Ignored = Ctx.State.Evacuations.Ignored;
+  const bool IsNew =
+      Ignored.size() < config::MaxEvacuationRecords &&
+      Ignored.emplace(Record.FailureDomain, Record.Revision).second;
+  if (IsNew) {
     Ctx.log("evacuation_ignored",
             {{"failure_domain", Record.FailureDomain},
              {"revision", std::to_string(Record.Revision)},
              {"reason", "no host or target is in it"}});
-    return;
   }
+}
+
+/// @param[in] Source the store, or the host that told of the change
+void noteChange(reducer_context &Ctx, const evacuation_record &Record,
+                const std::string &Source) {
+  pool_state &State = Ctx.State;
+  State.Owner.markCapacityChanged();
   const milliseconds Age = State.Evacuations.HasSnapshot
                                ? until(Ctx.Now, State.Evacuations.ReadAt)
                                : milliseconds(0);
@@ -119,42 +128,90 @@
       {"targets", std::to_string(countTargets(State, Record.FailureDomain))}};
   Ctx.log(IsBegun ? "evacuation_begun" : "evacuation_ended", std::move(Fields));
 }
+
+void applyRecords(reducer_context &Ctx,
+                  const std::vector<evacuation_record> &Records,
+                  const std::string &Source) {
+  evacuation_list &List = Ctx.State.Evacuations.List;
+  for (const evacuation_record &Record : Records) {
+    if (!List.contains(Record.FailureDomain) &&
+        !isKnownDomain(Ctx.State, Record.FailureDomain)) {
+      logIgnored(Ctx, Record);
+    } else if (List.apply(Record)) {
+      noteChange(Ctx, Record, Source);
+    }
+  }
+}
+
+/// Records that a snapshot was read. One that was asked for before a pause
+/// doesn't end the recheck after it.
+void noteSnapshot(pool_state &State, const evacuations_listed &Listed) {
+  evacuation_state &Evacuations = State.Evacuations;
+  Evacuations.HasSnapshot = true;
+  Evacuations.SnapshotRevision =
+      std::max(Evacuations.SnapshotRevision, Listed.Revision);
+  if (Listed.ReadAt >= Evacuations.ResumedAt) {
+    Evacuations.RecheckUntil = {};
+    State.Owner.markCapacityChanged();
+  }
+}
 } // namespace
 
 void handleEvacuations(reducer_context &Ctx, evacuations_listed &&Listed) {
   const std::string Source = "store";
-  evacuation_state &Evacuations = Ctx.State.Evacuations;
+  pool_state &State = Ctx.State;
+  evacuation_state &Evacuations = State.Evacuations;
+  if (!State.HasTargetSnapshot || !State.HasMemberSnapshot) {
+    if (Listed.IsSnapshot) {
+      Evacuations.Pending.clear();
+    }
+    Evacuations.Pending.push_back(std::move(Listed));
+    return;
+  }
   Evacuations.ReadAt = Ctx.Now;
   if (Listed.IsSnapshot) {
-    const auto Ended =
-        Evacuations.List.endMissing(Listed.Records, Listed.Revision);
-    for (const evacuation_record &Record : Ended) {
+    for (const evacuation_record &Record :
+         Evacuations.List.endMissing(Listed.Records, Listed.Revision)) {
       noteChange(Ctx, Record, Source);
     }
-    Evacuations.HasSnapshot = true;
-    Evacuations.RecheckUntil = {};
+    noteSnapshot(State, Listed);
   }
-  for (const evacuation_record &Record : Listed.Records) {
-    if (Evacuations.List.apply(Record)) {
-      noteChange(Ctx, Record, Source);
-    }
+  applyRecords(Ctx, Listed.Records, Source);
+}
+
+void handlePendingEvacuations(reducer_context &Ctx) {
+  const pool_state &State = Ctx.State;
+  if (!State.HasTargetSnapshot || !State.HasMemberSnapshot) {
+    return;
+  }
+  auto Pending = std::exchange(Ctx.State.Evacuations.Pending, {});
+  for (evacuations_listed &Listed : Pending) {
+    handleEvacuations(Ctx, std::move(Listed));
   }
 }
 
 void learnEvacuations(reducer_context &Ctx, const std::string &Peer,
                       const std::vector<evacuation_record> &Records) {
+  const evacuation_state &Evacuations = Ctx.State.Evacuations;
   for (const evacuation_record &Record : Records) {
-    if (Ctx.State.Evacuations.List.apply(Record)) {
-      noteChange(Ctx, Record, Peer);
+    // The peer hasn't heard of the end that this host's list shows.
+    const bool IsEnded = Record.Revision <= Evacuations.SnapshotRevision &&
+                         !Evacuations.List.isEvacuated(Record.FailureDomain);
+    if (!Record.IsEvacuated || !IsEnded) {
+      applyRecords(Ctx, {Record}, Peer);
     }
   }
 }
 
 void recheckEvacuations(reducer_context &Ctx, milliseconds PauseTime) {
-  if (PauseTime < config::EvacuationRecheckPause) {
-    return;
+  evacuation_state &Evacuations = Ctx.State.Evacuations;
+  if (PauseTime < config::EvacuationRecheckPause ||
+      !Ctx.State.StoreIsReachable) {
+    return; // without the store, peers tell of evacuations
   }
-  Ctx.State.Evacuations.RecheckUntil = Ctx.Now + config::EvacuationRecheckTime;
+  Evacuations.ResumedAt = Ctx.Now;
+  Evacuations.RecheckUntil = Ctx.Now + config::EvacuationRecheckTime;
+  Ctx.State.Owner.markCapacityChanged();
   Ctx.Effects.emplace_back(reread_configuration{true});
 }
 
@@ -184,8 +241,19 @@
   return State.Evacuations.List.isAny() && !OwnedTargets.empty() &&
          std::all_of(OwnedTargets.begin(), OwnedTargets.end(),
                      [&](const auto &Entry) {
-                       const target_record &Record = Entry.second.record();
-                       return isDomainEvacuated(State, Record.FailureDomain);
+                       const owned_target &OwnedTarget = Entry.second;
+                       return OwnedTarget.phase() == ownership_phase::Lost ||
+                              isDomainEvacuated(
+                                  State, OwnedTarget.record().FailureDomain);
+                     });
+}
+
+bool areAllEvacuated(const pool_state &State) {
+  return State.Evacuations.List.isAny() && !State.Targets.empty() &&
+         std::all_of(State.Targets.begin(), State.Targets.end(),
+                     [&](const auto &Entry) {
+                       return isDomainEvacuated(
+                           State, Entry.second.Record.FailureDomain);
                      });
 }
 
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -124,6 +124,12 @@
   const std::string Id = Job.Id;
   pool_view View = makePoolView(State, Ctx.Now);
   const milliseconds Objective = until(Job.ObjectiveDeadline, Ctx.Now);
+  if (areAllEvacuated(State)) {
+    Ctx.count(counter::RefusedEvacuated);
+    Ctx.log("job_refused", {{"job", Id}, {"reason", "evacuated"}});
+    finishJob(Ctx, Id, response_kind::Overloaded, config::MaxRetryAfter);
+    return;
+  }
   Job.AwaitsOwner = hasNoSlots(View) && Job.AwaitsOwnerUntil > Ctx.Now;
   if (Job.AwaitsOwner || endAfterCrashes(Ctx, Job)) {
     return;
--- a/src/core/pool/job_offers.cpp
+++ b/src/core/pool/job_offers.cpp
@@ -10,13 +10,14 @@
 namespace tarragonbridge::pool {
 
 namespace {
-/// @returns what the coordinator knows of an owner, without reservations
-owner_view makeOwnerView(const std::string &Name, milliseconds RoundTrip,
-                         const host_state &HostState) {
+/// @returns what the coordinator knows of an owner, without reservations. Its
+/// state may be older than the evacuation of a failure domain.
+owner_view makeOwnerView(const pool_state &State, const std::string &Name,
+                         milliseconds RoundTrip, const host_state &HostState) {
   double SpeedSum = 0;
   std::size_t SchedulableCount = 0;
   for (const target_free_capacity &FreeTarget : HostState.Targets) {
-    if (FreeTarget.IsSchedulable) {
+    if (FreeTarget.IsSchedulable && !isEvacuated(State, FreeTarget.Target)) {
       SpeedSum += FreeTarget.Speed;
       ++SchedulableCount;
     }
@@ -39,9 +40,10 @@
   }
   const bool IsSameDomain =
       Peer.Member.FailureDomain == State.Init.FailureDomain;
-  owner_view Owner = makeOwnerView(
-      Name, IsSameDomain ? config::DomainRoundTrip : config::RemoteRoundTrip,
-      Peer.State);
+  owner_view Owner = makeOwnerView(State, Name,
+                                   IsSameDomain ? config::DomainRoundTrip
+                                                : config::RemoteRoundTrip,
+                                   Peer.State);
   Owner.IsNeighbour = Peer.IsNeighbour;
   for (const auto &Reserved : Peer.Reservations) {
     if (Reserved.Target.empty() && Owner.Slots > 0) {
@@ -53,13 +55,12 @@
 
 owner_view makeSelfView(const pool_state &State, const host_state &HostState) {
   owner_view Owner =
-      makeOwnerView(State.Init.Name, config::LocalRoundTrip, HostState);
+      makeOwnerView(State, State.Init.Name, config::LocalRoundTrip, HostState);
   Owner.IsSelf = true;
   return Owner;
 }
 
-/// Adds an owner's targets, less what is reserved there. Its state may be older
-/// than the evacuation of a failure domain.
+/// Adds an owner's targets, less what is reserved there.
 void addFreeTargets(pool_view &View, const pool_state &State,
                     const host_state &HostState,
                     const std::deque<peer_host::reservation> &Reservations) {
--- a/src/core/pool/owner_capacity.cpp
+++ b/src/core/pool/owner_capacity.cpp
@@ -46,20 +46,29 @@
   return 2 * static_cast<std::size_t>(Failing) > OwnedTargets.size();
 }
 
-/// @returns whether a target is cold and busy: it gets one task at a time, so
-/// that load returns to it by degrees
-bool isWarmingUp(const pool_state &State, const owned_target &OwnedTarget,
-                 boot_time Now) {
+/// @returns whether a target runs tasks slowly for a while: it gets one task at
+/// a time, so that load returns to it by degrees
+bool isCold(const pool_state &State, const owned_target &OwnedTarget,
+            boot_time Now) {
   const auto Listed = State.Targets.find(OwnedTarget.record().Id);
-  return Listed != State.Targets.end() && Listed->second.ColdUntil > Now &&
-         !OwnedTarget.attempts().empty();
+  return Listed != State.Targets.end() && Listed->second.ColdUntil > Now;
+}
+
+resource_vector freeCapacityOf(const pool_state &State,
+                               const owned_target &OwnedTarget, boot_time Now) {
+  const bool IsTaken =
+      !OwnedTarget.attempts().empty() && isCold(State, OwnedTarget, Now);
+  return IsTaken ? resource_vector{} : OwnedTarget.freeCapacity();
 }
 
 /// @returns the owned targets that get new attempts
 std::vector<const owned_target *> servingTargets(const pool_state &State,
                                                  boot_time Now) {
-  const bool IgnoresHealth = areMostFailing(State, Now);
   std::vector<const owned_target *> Serving;
+  if (!areEvacuationsKnown(State, Now)) {
+    return Serving;
+  }
+  const bool IgnoresHealth = areMostFailing(State, Now);
   for (const auto &[Id, OwnedTarget] : State.Owner.OwnedTargets) {
     const health_state Health = healthOf(State, Id, Now);
     const bool IsHealthy =
@@ -67,8 +76,7 @@
         (Health == health_state::Probing && OwnedTarget.attempts().empty());
     const std::string &Domain = OwnedTarget.record().FailureDomain;
     if (OwnedTarget.isSchedulable() && IsHealthy &&
-        !isDomainEvacuated(State, Domain) &&
-        !isWarmingUp(State, OwnedTarget, Now)) {
+        !isDomainEvacuated(State, Domain)) {
       Serving.push_back(&OwnedTarget);
     }
   }
@@ -98,6 +106,9 @@
       TasksThatFit = std::min(
           TasksThatFit, static_cast<double>(Capacity.MemoryMb) / Mean.MemoryMb);
     }
+    if (isCold(State, *OwnedTarget, Now)) {
+      TasksThatFit = std::min(TasksThatFit, 1.0);
+    }
     Slots += std::floor(TasksThatFit);
   }
   constexpr double MaxSlots = std::numeric_limits<std::uint32_t>::max();
@@ -153,8 +164,9 @@
   for (const owned_target *OwnedTarget : servingTargets(State, Now)) {
     const target_record &Record = OwnedTarget->record();
     View.FreeTargets.push_back(
-        {0, Record.Id, Record.Service, OwnedTarget->freeCapacity(),
-         speedOf(State, Record.Id), OwnedTarget->attempts().empty()});
+        {0, Record.Id, Record.Service, freeCapacityOf(State, *OwnedTarget, Now),
+         speedOf(State, Record.Id), OwnedTarget->attempts().empty(),
+         isCold(State, *OwnedTarget, Now)});
   }
   return View;
 }
@@ -189,8 +201,8 @@
     const bool IsServing = std::find(Serving.begin(), Serving.end(),
                                      &OwnedTarget) != Serving.end();
     HostState.Targets.push_back(
-        {Id, OwnedTarget.record().Service, OwnedTarget.freeCapacity(),
-         speedOf(State, Id),
+        {Id, OwnedTarget.record().Service,
+         freeCapacityOf(State, OwnedTarget, Now), speedOf(State, Id),
          Listed != State.Targets.end() && Listed->second.Speed.isMeasured(),
          OwnedTarget.token(), IsServing && !State.IsShuttingDown});
   }
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -288,10 +288,10 @@
   for (target_record &Record : Listed.Upserted) {
     listed_target &Target = State.Targets[Record.Id];
     Target.MissingSince.reset();
-    Target.ColdUntil = Ctx.Now + Record.ColdTimeLeft;
     if (Target.Record == Record) {
       continue;
     }
+    Target.ColdUntil = Ctx.Now + Record.ColdTimeLeft;
     State.TargetListVersion +=
         Target.Record.FailureDomain != Record.FailureDomain;
     Target.Record = std::move(Record);
--- a/src/core/pool/placement.cpp
+++ b/src/core/pool/placement.cpp
@@ -94,7 +94,7 @@
   available_target &FreeTarget = View.FreeTargets[Candidate.FreeTarget];
   FreeTarget.Free -= Request.RequiredResources;
   FreeTarget.IsIdle = false;
-  if (Request.RunsAlone) {
+  if (Request.RunsAlone || FreeTarget.TakesOne) {
     FreeTarget.Free = {};
   }
   return {FreeTarget.Owner, FreeTarget.Target, Candidate.CompletesIn,
--- a/src/core/pool/placement_p.h
+++ b/src/core/pool/placement_p.h
@@ -29,7 +29,8 @@
   std::string Service;
   resource_vector Free;
   double Speed = 1;
-  bool IsIdle = true; ///< as far as known
+  bool IsIdle = true;    ///< as far as known
+  bool TakesOne = false; ///< it gets one task at a time
 };
 
 struct pool_view {
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -33,6 +33,7 @@
 
 void handle(reducer_context &Ctx, targets_listed &&Listed) {
   handleTargets(Ctx, std::move(Listed));
+  handlePendingEvacuations(Ctx);
 }
 
 void handle(reducer_context &Ctx, evacuations_listed &&Listed) {
@@ -41,6 +42,7 @@
 
 void handle(reducer_context &Ctx, members_listed &&Listed) {
   handleMembers(Ctx, std::move(Listed));
+  handlePendingEvacuations(Ctx);
 }
 
 void handle(reducer_context &Ctx, member_registered &&Registered) {
@@ -340,6 +342,7 @@
                "refused_shutting_down",
                "refused_duplicate",
                "refused_suspect",
+               "refused_evacuated",
                "given_up_late",
                "given_up_attempts",
                "given_up_crashes",
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -326,6 +326,8 @@
 // Module evacuations: failure domains that get no new attempts.
 
 void handleEvacuations(reducer_context &Ctx, evacuations_listed &&Listed);
+/// Handles what came before hosts and targets were known.
+void handlePendingEvacuations(reducer_context &Ctx);
 /// Takes over what a peer knows later than this host.
 void learnEvacuations(reducer_context &Ctx, const std::string &Peer,
                       const std::vector<evacuation_record> &Records);
@@ -340,6 +342,8 @@
 bool isEvacuated(const pool_state &State, std::string_view Target);
 /// @returns whether this host owns targets, all in evacuated failure domains
 bool ownsOnlyEvacuated(const pool_state &State);
+/// @returns whether targets are listed, all in evacuated failure domains
+bool areAllEvacuated(const pool_state &State);
 
 // Module owner: tasks on the owned targets.
 
--- a/src/poolhost/store_watcher.cpp
+++ b/src/poolhost/store_watcher.cpp
@@ -216,7 +216,7 @@
                             const platform::store_items &Items,
                             bool IsSnapshot) {
   if (&Watched == &OperatorItems) {
-    deliverOperatorItems(Items, IsSnapshot);
+    deliverOperatorItems(Items, IsSnapshot, Watched.SentAt);
     return;
   }
   if (&Watched == &Targets) {
@@ -292,8 +292,8 @@
 }
 
 void store_watcher::deliverOperatorItems(const platform::store_items &Items,
-                                         bool IsSnapshot) {
-  deliverEvacuations(Items, IsSnapshot);
+                                         bool IsSnapshot, boot_time ReadAt) {
+  deliverEvacuations(Items, IsSnapshot, ReadAt);
   for (const auto &[Key, Last] : lastItems(Items)) {
     if (!Last->IsRemoved && Key == platform::ConfigurationKey) {
       deliverConfiguration(*Last);
@@ -302,9 +302,10 @@
 }
 
 void store_watcher::deliverEvacuations(const platform::store_items &Items,
-                                       bool IsSnapshot) {
+                                       bool IsSnapshot, boot_time ReadAt) {
   pool::evacuations_listed Event;
   Event.IsSnapshot = IsSnapshot;
+  Event.ReadAt = ReadAt;
   Event.Revision = Items.Revision;
   for (const auto &[Key, Last] : lastItems(Items)) {
     if (!Key.starts_with(platform::EvacuationsPrefix)) {
@@ -316,12 +317,22 @@
         })) {
       Event.Records.push_back(std::move(*Evacuation));
     } else {
-      OnInvalidItem(Last->Key, ErrorMessage);
+      reportInvalidOnce(*Last, ErrorMessage);
     }
   }
   OnEvent(std::move(Event));
 }
 
+void store_watcher::reportInvalidOnce(const platform::store_item &Item,
+                                      const std::string &Reason) {
+  const auto [Reported, IsNew] =
+      ReportedInvalidRevisions.try_emplace(Item.Key, Item.Revision);
+  const std::uint64_t Before = std::exchange(Reported->second, Item.Revision);
+  if (IsNew || Before != Item.Revision) {
+    OnInvalidItem(Item.Key, Reason);
+  }
+}
+
 void store_watcher::deliverConfiguration(const platform::store_item &Item) {
   if (Item.Revision == ConfigurationRevision) {
     return;
@@ -338,29 +349,45 @@
 }
 
 void store_watcher::rereadOperatorItems(bool IsAfterNow) {
-  if (IsRereadInFlight) {
-    IsRereadDue = IsRereadDue || IsAfterNow;
-    return;
+  if (RereadsInFlight == 0 || IsAfterNow) {
+    ++RereadsInFlight;
+    readRereadPage({bootNow(), {}});
   }
-  IsRereadInFlight = true;
-  sendRequest(platform::readRange(platform::OperatorPrefix, ""),
-              config::StoreTimeout,
-              [this](received_response &&Response) { onReread(Response); });
 }
 
-void store_watcher::onReread(const received_response &Response) {
-  IsRereadInFlight = false;
-  if (std::exchange(IsRereadDue, false)) {
-    rereadOperatorItems(true);
-    return;
-  }
+void store_watcher::readRereadPage(reread Reread) {
+  const std::string AfterKey =
+      Reread.Pages.Items.empty() ? "" : Reread.Pages.Items.back().Key;
+  sendRequest(
+      platform::readRange(platform::OperatorPrefix, AfterKey),
+      config::StoreTimeout,
+      [this, Reread = std::move(Reread)](received_response &&Response) mutable {
+        onReread(std::move(Reread), Response);
+      });
+}
+
+void store_watcher::onReread(reread &&Reread,
+                             const received_response &Response) {
   std::string ErrorMessage;
-  if (Response.Status != StatusOk) {
+  std::optional<platform::store_items> Page;
+  if (Response.Status == StatusOk) {
+    Page = decodeOr(ErrorMessage,
+                    [&] { return platform::decodeRange(Response.Body); });
+  }
+  const bool IsFirst = Reread.Pages.Items.empty();
+  const bool IsContinued = Page && Page->IsTruncated && !Page->Items.empty();
+  if (Page) {
+    std::move(Page->Items.begin(), Page->Items.end(),
+              std::back_inserter(Reread.Pages.Items));
+    Reread.Pages.Revision = IsFirst ? Page->Revision : Reread.Pages.Revision;
+  }
+  if (IsContinued) {
+    readRereadPage(std::move(Reread));
     return;
   }
-  if (const auto Items = decodeOr(
-          ErrorMessage, [&] { return platform::decodeRange(Response.Body); })) {
-    deliverOperatorItems(*Items, !Items->IsTruncated);
+  --RereadsInFlight;
+  if (Page) {
+    deliverOperatorItems(Reread.Pages, true, Reread.SentAt);
   }
 }
 
--- a/src/poolhost/store_watcher.h
+++ b/src/poolhost/store_watcher.h
@@ -79,11 +79,24 @@
   decodeTargetIfChanged(const platform::store_item &Item,
                         std::string &ErrorMessage);
   /// Delivers the configuration and the evacuations.
-  void deliverOperatorItems(const platform::store_items &Items,
-                            bool IsSnapshot);
-  void deliverEvacuations(const platform::store_items &Items, bool IsSnapshot);
+  ///
+  /// @param[in] ReadAt when the store was asked
+  void deliverOperatorItems(const platform::store_items &Items, bool IsSnapshot,
+                            boot_time ReadAt);
+  void deliverEvacuations(const platform::store_items &Items, bool IsSnapshot,
+                          boot_time ReadAt);
+  /// Reports an item that can't be decoded, unless it was reported before.
+  void reportInvalidOnce(const platform::store_item &Item,
+                         const std::string &Reason);
   void deliverConfiguration(const platform::store_item &Item);
-  void onReread(const received_response &Response);
+
+  /// A read beside the watch, of one or several pages.
+  struct reread {
+    boot_time SentAt; ///< the first page's request
+    platform::store_items Pages;
+  };
+  void readRereadPage(reread Reread);
+  void onReread(reread &&Reread, const received_response &Response);
   void renewOrRegister();
   void grantMemberLease();
   void writeMember();
@@ -102,8 +115,7 @@
   watched_prefix Targets;
   watched_prefix Members;
   std::map<std::string, cached_target> CachedTargets; ///< by key
-  bool IsRereadInFlight = false;
-  bool IsRereadDue = false;                ///< another one, asked for meanwhile
+  std::size_t RereadsInFlight = 0;
   std::uint64_t ConfigurationRevision = 0; ///< of the last delivery
   boot_time MemberDueAt;
   bool IsMemberRequestInFlight = false;
@@ -115,8 +127,8 @@
   bool NewConnection = false;
   std::uint64_t RequestCount = 0;
   std::uint64_t FailedRequestCount = 0;
-  std::map<std::string, std::uint64_t>
-      ReportedInvalidRevisions; ///< already reported
+  /// By key; of operators' items.
+  std::map<std::string, std::uint64_t> ReportedInvalidRevisions;
 };
 
 } // namespace tarragonbridge::poolhost
--- a/tests/scenarios/pool_evacuation.lua
+++ b/tests/scenarios/pool_evacuation.lua
@@ -14,6 +14,7 @@
 pool.start { hosts = 4 }
 pool.startLoad(18)
 runner.sleep(1000)
+pool.setFaults { store = { misses_watches = true } }
 pool.writeEntry("op/evacuate/nowhere", "{}")
 pool.writeEntry("op/evacuate/", "{}")
 pool.writeEntry("op/evacuate/east", "{}")
@@ -22,7 +23,6 @@
 pool["pool-1"]:launch()
 pool["pool-1"]:awaitReady()
 awaitEvacuated(3)
-pool.setFaults { store = { misses_watches = true } }
 pool.compactHistory()
 runner.sleep(6000) -- past the bound after which a start there is a violation
 pool.setFaults { store = {} }
--- a/tests/unit/pool_evacuation_test.cpp
+++ b/tests/unit/pool_evacuation_test.cpp
@@ -17,8 +17,9 @@
 /// Hosts of two failure domains under load.
 class evacuation_world {
 public:
-  explicit evacuation_world(std::uint64_t Seed = 1, bool IsHonoured = true)
-      : Simulation(makeInit(Seed, IsHonoured)) {
+  explicit evacuation_world(std::uint64_t Seed = 1, bool IsHonoured = true,
+                            bool ResumesWithTimers = false)
+      : Simulation(makeInit(Seed, IsHonoured, ResumesWithTimers)) {
     Simulation.settle();
   }
 
@@ -44,13 +45,15 @@
   std::vector<request_handle> Requests;
 
 private:
-  static simulation_init makeInit(std::uint64_t Seed, bool IsHonoured) {
+  static simulation_init makeInit(std::uint64_t Seed, bool IsHonoured,
+                                  bool ResumesWithTimers) {
     simulation_init Init;
     Init.Hosts = Hosts;
     Init.Domains = 2;
     Init.TargetsPerDomain = 12;
     Init.Seed = Seed;
     Init.Rules.HonourEvacuations = IsHonoured;
+    Init.ResumesWithTimers = ResumesWithTimers;
     return Init;
   }
   int Loads = 0;
@@ -94,12 +97,16 @@
 }
 
 TEST_CASE("the records of evacuations are bounded", "[pool]") {
+  const bool AreEnded = GENERATE(true, false);
+  INFO("ended: " << AreEnded);
   evacuation_list List;
   List.apply({"evacuated", true, 1});
   for (std::uint64_t Number = 0; Number < 1'000; ++Number) {
     const std::string Domain = "d" + std::to_string(Number);
     List.apply({Domain, true, 2 * Number + 2});
-    List.apply({Domain, false, 2 * Number + 3});
+    if (AreEnded) {
+      List.apply({Domain, false, 2 * Number + 3});
+    }
   }
   CHECK(List.records().size() <= config::MaxEvacuationRecords);
   CHECK(List.isEvacuated("evacuated"));
@@ -204,17 +211,91 @@
 
 TEST_CASE("all failure domains evacuated: nothing starts, jobs are refused",
           "[pool]") {
+  constexpr milliseconds AtOnce{10};
   evacuation_world World;
   World.Simulation.setEvacuated("domain-0", true);
   World.Simulation.setEvacuated("domain-1", true);
   World.Simulation.runFor(100ms);
-  CHECK(World.startsDuring(1s, "domain-0") == 0);
-  CHECK(World.startsDuring(1s, "domain-1") == 0);
+  const std::uint64_t Before = World.Simulation.startCount();
+  World.load(2s);
   World.Simulation.runFor(1s);
-  CHECK(World.Simulation.count(response_kind::JobDone) == 0);
+  CHECK(World.Simulation.startCount() == Before);
+  for (const request_handle Request : World.Requests) {
+    CHECK(World.Simulation.responseOf(Request) == response_kind::Overloaded);
+    CHECK(World.Simulation.responseTime(Request) <= AtOnce);
+  }
   CHECK(World.Simulation.violations().empty());
 }
 
+TEST_CASE("a host starts nothing before it has read the evacuations",
+          "[pool]") {
+  evacuation_world World;
+  for (std::size_t Host = 0; Host < World.Hosts; ++Host) {
+    World.Simulation.kill(Host);
+    World.Simulation.cutFromOperators(Host);
+  }
+  for (std::size_t Host = 0; Host < World.Hosts; ++Host) {
+    World.Simulation.restart(Host);
+  }
+  const std::uint64_t Before = World.Simulation.startCount();
+  World.load(2s);
+  CHECK(World.Simulation.startCount() == Before);
+  for (std::size_t Host = 0; Host < World.Hosts; ++Host) {
+    World.Simulation.restoreOperators(Host);
+  }
+  World.load(2s);
+  CHECK(World.Simulation.startCount() > Before);
+}
+
+// The job that a caller submitted meanwhile is handled as the host resumes; the
+// store is slow, and no peer tells it.
+TEST_CASE("a resumed host reads the evacuations before it starts anything",
+          "[pool]") {
+  const bool ResumesWithTimers = GENERATE(true, false);
+  const bool IsEvacuated = GENERATE(true, false);
+  INFO("timers first: " << ResumesWithTimers << ", " << IsEvacuated);
+  simulation_init Init;
+  Init.Hosts = 1;
+  Init.ResumesWithTimers = ResumesWithTimers;
+  pool_simulation Simulation(Init);
+  Simulation.settle();
+  Simulation.setStoreLatency(400ms);
+  Simulation.pause(0);
+  Simulation.runFor(2500ms);
+  if (IsEvacuated) {
+    Simulation.setEvacuated(Evacuated, true, false);
+  }
+  const request_handle Request =
+      Simulation.submit(0, {"j", 1, {14'000, 64, 0}, 700ms});
+  Simulation.resume(0);
+  Simulation.runFor(3s);
+  CHECK((Simulation.startCount() == 0) == IsEvacuated);
+  CHECK(Simulation.responseOf(Request) ==
+        (IsEvacuated ? response_kind::Overloaded : response_kind::JobDone));
+}
+
+TEST_CASE("a cold target gets one task at a time", "[pool]") {
+  struct cold_case {
+    milliseconds ColdTime;
+    bool IsParallel;
+  };
+  const auto Case =
+      GENERATE(values<cold_case>({{0ms, true}, {5s, false}, {20ms, true}}));
+  INFO(Case.ColdTime.count() << " ms");
+  simulation_init Init;
+  Init.Hosts = 1;
+  Init.TargetsPerDomain = 1;
+  pool_simulation Simulation(Init);
+  Simulation.settle();
+  Simulation.setCold(0, Case.ColdTime);
+  Simulation.runFor(50ms);
+  const request_handle Request =
+      Simulation.submit(0, {"j", 2, {14'000, 64, 0}, 100ms});
+  Simulation.runFor(1s);
+  REQUIRE(Simulation.responseOf(Request) == response_kind::JobDone);
+  CHECK((Simulation.responseTime(Request) < 200ms) == Case.IsParallel);
+}
+
 TEST_CASE("a failure domain that is taken back is used again", "[pool]") {
   const milliseconds After = GENERATE(50ms, 1s, 4s);
   const bool IsWatched = GENERATE(true, false);
@@ -228,12 +309,36 @@
   CHECK(World.Simulation.hostMetrics(1).EvacuatedTargets == 0);
 }
 
-TEST_CASE("an unknown failure domain is ignored", "[pool]") {
+TEST_CASE("requests for unknown failure domains are ignored", "[pool]") {
+  constexpr std::size_t Requests = 400;
   evacuation_world World;
-  World.Simulation.setEvacuated("nowhere", true);
+  for (std::size_t Number = 0; Number < Requests; ++Number) {
+    World.Simulation.setEvacuated(
+        std::string(150, 'x') + std::to_string(Number), true);
+  }
+  World.Simulation.setEvacuated(Evacuated, true);
   World.load(1s);
+  CHECK(World.startsDuring(2s) == 0);
   World.Simulation.runFor(1s);
   checkJobsDone(World.Simulation, World.Requests);
+  CHECK(World.Simulation.hostMetrics(0).EvacuatedDomains == 1);
+  CHECK(World.Simulation.hostMetrics(0).PeersReachable == World.Hosts - 1);
+}
+
+TEST_CASE("what a peer has missed the end of isn't believed", "[pool]") {
+  evacuation_world World;
+  World.Simulation.setEvacuated(Evacuated, true);
+  World.load(1s);
+  for (std::size_t Host = 1; Host < World.Hosts; ++Host) {
+    World.Simulation.cutFromOperators(Host);
+    World.Simulation.partitionHosts(0, Host);
+  }
+  World.Simulation.setEvacuated(Evacuated, false);
+  World.Simulation.kill(0);
+  World.Simulation.restart(0);
+  World.Simulation.runFor(1s);
+  World.Simulation.heal(); // the others tell it what they last read
+  World.Simulation.runFor(1s);
   CHECK(World.Simulation.hostMetrics(0).EvacuatedDomains == 0);
 }
 
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -167,6 +167,9 @@
     }
     target_record Record = Target.record(Id);
     Record.IsDraining = Draining.contains(Id);
+    const auto Cold = ColdTimes.find(Id);
+    Record.ColdTimeLeft =
+        Cold == ColdTimes.end() ? milliseconds(0) : Cold->second;
     Records.push_back(std::move(Record));
   }
   return Records;
@@ -446,8 +449,13 @@
   deliverSnapshots();
 }
 
+void pool_simulation::setCold(std::size_t Index, milliseconds Time) {
+  ColdTimes[TargetIds[Index]] = Time;
+  deliverSnapshots();
+}
+
 evacuations_listed pool_simulation::evacuationSnapshot() const {
-  evacuations_listed Listed{true, StoreRevision, {}};
+  evacuations_listed Listed{true, StoreRevision, {}, Now};
   for (const auto &[FailureDomain, Record] : Evacuations) {
     Listed.Records.push_back(Record);
   }
@@ -467,13 +475,13 @@
   }
   Checker.noteEvacuation(FailureDomain, IsEvacuated, Now);
   for (std::size_t Host = 0; IsWatched && Host < Hosts.size(); ++Host) {
-    at(Now + WatchLatency,
-       [this, Host, Record, Generation = Hosts[Host].Generation] {
-         if (Hosts[Host].Generation == Generation &&
-             !CutFromOperators.contains(Host)) {
-           post(Host, evacuations_listed{false, Record.Revision, {Record}});
-         }
-       });
+    at(Now + WatchLatency, [this, Host, Record,
+                            Generation = Hosts[Host].Generation] {
+      if (Hosts[Host].Generation == Generation &&
+          !CutFromOperators.contains(Host)) {
+        post(Host, evacuations_listed{false, Record.Revision, {Record}, Now});
+      }
+    });
   }
 }
 
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -132,6 +132,8 @@
   }
   /// @returns how often hosts polled the configuration
   std::uint64_t configurationReads() const { return ConfigurationReads; }
+  /// Of a read of what operators have written.
+  void setStoreLatency(milliseconds Latency) { StoreLatency = Latency; }
   /// @returns the requests of operators that are in force
   evacuations_listed evacuationSnapshot() const;
   /// Sends new snapshots of hosts and targets; dead hosts aren't listed.
@@ -147,6 +149,8 @@
   /// Whether snapshots omit a target, whose registration has expired.
   void setUnlisted(std::size_t Target, bool IsUnlisted);
   void setDraining(const std::string &Target);
+  /// Lists a target as cold for a time from now on.
+  void setCold(std::size_t Index, milliseconds Time);
   /// Operators evacuate a failure domain, or take it back. Unwatched: the
   /// watches miss the change.
   void setEvacuated(const std::string &FailureDomain, bool IsEvacuated,
@@ -257,6 +261,7 @@
   std::map<std::string, emulator::target_model> Targets;
   std::vector<std::string> TargetIds;
   std::set<std::string> Draining;
+  std::map<std::string, milliseconds> ColdTimes; ///< by target
   std::map<std::string, simulated_job> Jobs;
   struct request_record {
     std::string Job;
@@ -276,6 +281,7 @@
   std::set<std::string> TargetsWithUnknownRestarts;
   std::int64_t ConfigurationVersion = 1;
   std::uint64_t ConfigurationReads = 0;
+  milliseconds StoreLatency{5};
   std::map<std::string, evacuation_record> Evacuations; ///< in force
   std::uint64_t StoreRevision = 1;
   std::set<std::size_t> CutFromOperators; ///< hosts
--- a/tests/unit/pool_simulation_effects.cpp
+++ b/tests/unit/pool_simulation_effects.cpp
@@ -7,10 +7,6 @@
 
 namespace tarragonbridge::pool {
 
-namespace {
-constexpr milliseconds StoreLatency{5}; ///< of a request to the store
-} // namespace
-
 void pool_simulation::execute(std::size_t Host, effect &&Effect) {
   if (auto *Response = std::get_if<respond_to_caller>(&Effect)) {
     request_record &Record =
