--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -22,6 +22,9 @@
   bool BoundLeaseByCoordinatorContact = true;
   /// Attempts are stopped when their coordinator has timed out.
   bool StopOrphans = true;
+  /// Targets of evacuated failure domains get no new attempts, and a host
+  /// starts none before it knows which these are.
+  bool HonourEvacuations = true;
 };
 
 struct pool_init {
@@ -68,7 +71,8 @@
   RefusedOverloaded,
   RefusedShuttingDown,
   RefusedDuplicate,
-  RefusedSuspect, ///< targets are silent since they started a task of the job
+  RefusedSuspect,   ///< targets are silent since they started a task of the job
+  RefusedEvacuated, ///< all failure domains are evacuated
   GivenUpLate,
   GivenUpAttempts,
   GivenUpCrashes, ///< targets crashed under a task of the job
@@ -115,6 +119,8 @@
   std::uint64_t TargetsListed = 0;
   std::uint64_t PeersReachable = 0;
   std::int64_t ConfigurationVersion = 0;
+  std::uint64_t EvacuatedDomains = 0; ///< with listed targets
+  std::uint64_t EvacuatedTargets = 0; ///< listed ones
 };
 pool_metrics metricsOf(const pool_state &State, boot_time Now);
 
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -219,6 +219,9 @@
   // Each side counts as alive once the other has acknowledged a state of it, so
   // the first datagrams are responded to at once.
   Peer->NeedsState |= Peer->LastReceivedAt == boot_time{};
+  if (Datagram.State) { // also if it is late: of two records the later counts
+    learnEvacuations(Ctx, Datagram.From.Name, Datagram.State->Evacuations);
+  }
   const auto AckedSentAt = ackedStateSentAt(Ctx, Datagram);
   if (!AckedSentAt) {
     return; // sent before this host was paused, or the sender gets none from it
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -263,7 +263,7 @@
 
 bool canOwnTargets(const pool_state &State) {
   return State.HasMemberSnapshot && State.HasTargetSnapshot &&
-         State.OwnerNumber != 0;
+         State.Evacuations.HasSnapshot && State.OwnerNumber != 0;
 }
 
 void handleTargets(reducer_context &Ctx, targets_listed &&Listed) {
@@ -291,6 +291,7 @@
     if (Target.Record == Record) {
       continue;
     }
+    Target.ColdUntil = Ctx.Now + Record.ColdTimeLeft;
     State.TargetListVersion +=
         Target.Record.FailureDomain != Record.FailureDomain;
     Target.Record = std::move(Record);
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -33,10 +33,16 @@
 
 void handle(reducer_context &Ctx, targets_listed &&Listed) {
   handleTargets(Ctx, std::move(Listed));
+  handlePendingEvacuations(Ctx);
+}
+
+void handle(reducer_context &Ctx, evacuations_listed &&Listed) {
+  handleEvacuations(Ctx, std::move(Listed));
 }
 
 void handle(reducer_context &Ctx, members_listed &&Listed) {
   handleMembers(Ctx, std::move(Listed));
+  handlePendingEvacuations(Ctx);
 }
 
 void handle(reducer_context &Ctx, member_registered &&Registered) {
@@ -304,6 +310,14 @@
         return peerReceivedWithin(Entry.second, Now, config::HostTimeout);
       }));
   Metrics.ConfigurationVersion = State.Configuration.Version;
+  std::set<std::string_view> EvacuatedDomains;
+  for (const auto &[Id, Target] : State.Targets) {
+    if (State.Evacuations.List.isEvacuated(Target.Record.FailureDomain)) {
+      EvacuatedDomains.insert(Target.Record.FailureDomain);
+      ++Metrics.EvacuatedTargets;
+    }
+  }
+  Metrics.EvacuatedDomains = EvacuatedDomains.size();
   return Metrics;
 }
 
@@ -328,6 +342,7 @@
                "refused_shutting_down",
                "refused_duplicate",
                "refused_suspect",
+               "refused_evacuated",
                "given_up_late",
                "given_up_attempts",
                "given_up_crashes",
--- a/src/poolhost/store_watcher.cpp
+++ b/src/poolhost/store_watcher.cpp
@@ -51,8 +51,8 @@
                              invalid_item_handler OnInvalidItem)
     : Client(HttpClient), Init(std::move(Init)), OnEvent(std::move(OnEvent)),
       OnInvalidItem(std::move(OnInvalidItem)) {
-  Configuration.Prefix = platform::ConfigurationKey;
-  Configuration.Wait = config::WatchWait;
+  OperatorItems.Prefix = platform::OperatorPrefix;
+  OperatorItems.Wait = config::WatchWait;
   Targets.Prefix = platform::TargetsPrefix;
   Targets.Wait = config::TargetsWatchWait;
   Targets.MinInterval = config::MinTargetsWatchInterval;
@@ -97,7 +97,7 @@
 }
 
 void store_watcher::onTimer(boot_time Now) {
-  for (watched_prefix *Watched : {&Configuration, &Targets, &Members}) {
+  for (watched_prefix *Watched : {&OperatorItems, &Targets, &Members}) {
     if (!Watched->IsRequestInFlight && Watched->DueAt <= Now) {
       readOrWatch(*Watched);
     }
@@ -109,7 +109,7 @@
 
 boot_time store_watcher::nextDueAt() const {
   boot_time Due = boot_time::max();
-  for (const watched_prefix *Watched : {&Configuration, &Targets, &Members}) {
+  for (const watched_prefix *Watched : {&OperatorItems, &Targets, &Members}) {
     if (!Watched->IsRequestInFlight) {
       Due = std::min(Due, Watched->DueAt);
     }
@@ -215,12 +215,8 @@
 void store_watcher::deliver(const watched_prefix &Watched,
                             const platform::store_items &Items,
                             bool IsSnapshot) {
-  if (&Watched == &Configuration) {
-    for (const platform::store_item &Item : Items.Items) {
-      if (!Item.IsRemoved && Item.Key == platform::ConfigurationKey) {
-        deliverConfiguration(Item);
-      }
-    }
+  if (&Watched == &OperatorItems) {
+    deliverOperatorItems(Items, IsSnapshot, Watched.SentAt);
     return;
   }
   if (&Watched == &Targets) {
@@ -295,6 +291,48 @@
   return Target;
 }
 
+void store_watcher::deliverOperatorItems(const platform::store_items &Items,
+                                         bool IsSnapshot, boot_time ReadAt) {
+  deliverEvacuations(Items, IsSnapshot, ReadAt);
+  for (const auto &[Key, Last] : lastItems(Items)) {
+    if (!Last->IsRemoved && Key == platform::ConfigurationKey) {
+      deliverConfiguration(*Last);
+    }
+  }
+}
+
+void store_watcher::deliverEvacuations(const platform::store_items &Items,
+                                       bool IsSnapshot, boot_time ReadAt) {
+  pool::evacuations_listed Event;
+  Event.IsSnapshot = IsSnapshot;
+  Event.ReadAt = ReadAt;
+  Event.Revision = Items.Revision;
+  for (const auto &[Key, Last] : lastItems(Items)) {
+    if (!Key.starts_with(platform::EvacuationsPrefix)) {
+      continue;
+    }
+    std::string ErrorMessage;
+    if (auto Evacuation = decodeOr(ErrorMessage, [Item = Last] {
+          return platform::decodeEvacuation(*Item);
+        })) {
+      Event.Records.push_back(std::move(*Evacuation));
+    } else {
+      reportInvalidOnce(*Last, ErrorMessage);
+    }
+  }
+  OnEvent(std::move(Event));
+}
+
+void store_watcher::reportInvalidOnce(const platform::store_item &Item,
+                                      const std::string &Reason) {
+  const auto [Reported, IsNew] =
+      ReportedInvalidRevisions.try_emplace(Item.Key, Item.Revision);
+  const std::uint64_t Before = std::exchange(Reported->second, Item.Revision);
+  if (IsNew || Before != Item.Revision) {
+    OnInvalidItem(Item.Key, Reason);
+  }
+}
+
 void store_watcher::deliverConfiguration(const platform::store_item &Item) {
   if (Item.Revision == ConfigurationRevision) {
     return;
@@ -310,24 +348,47 @@
   OnEvent(pool::configuration_read{std::move(*Decoded)});
 }
 
-void store_watcher::rereadConfiguration() {
-  if (IsRereadInFlight) {
+void store_watcher::rereadOperatorItems(bool IsAfterNow) {
+  if (RereadsInFlight == 0 || IsAfterNow) {
+    ++RereadsInFlight;
+    readRereadPage({bootNow(), {}});
+  }
+}
+
+void store_watcher::readRereadPage(reread Reread) {
+  const std::string AfterKey =
+      Reread.Pages.Items.empty() ? "" : Reread.Pages.Items.back().Key;
+  sendRequest(
+      platform::readRange(platform::OperatorPrefix, AfterKey),
+      config::StoreTimeout,
+      [this, Reread = std::move(Reread)](received_response &&Response) mutable {
+        onReread(std::move(Reread), Response);
+      });
+}
+
+void store_watcher::onReread(reread &&Reread,
+                             const received_response &Response) {
+  std::string ErrorMessage;
+  std::optional<platform::store_items> Page;
+  if (Response.Status == StatusOk) {
+    Page = decodeOr(ErrorMessage,
+                    [&] { return platform::decodeRange(Response.Body); });
+  }
+  const bool IsFirst = Reread.Pages.Items.empty();
+  const bool IsContinued = Page && Page->IsTruncated && !Page->Items.empty();
+  if (Page) {
+    std::move(Page->Items.begin(), Page->Items.end(),
+              std::back_inserter(Reread.Pages.Items));
+    Reread.Pages.Revision = IsFirst ? Page->Revision : Reread.Pages.Revision;
+  }
+  if (IsContinued) {
+    readRereadPage(std::move(Reread));
     return;
   }
-  IsRereadInFlight = true;
-  sendRequest(platform::readItem(platform::ConfigurationKey),
-              config::StoreTimeout, [this](received_response &&Response) {
-                IsRereadInFlight = false;
-                std::string ErrorMessage;
-                if (Response.Status != StatusOk) {
-                  return;
-                }
-                if (const auto Item = decodeOr(ErrorMessage, [&] {
-                      return platform::decodeItem(Response.Body);
-                    })) {
-                  deliverConfiguration(*Item);
-                }
-              });
+  --RereadsInFlight;
+  if (Page) {
+    deliverOperatorItems(Reread.Pages, true, Reread.SentAt);
+  }
 }
 
 void store_watcher::renewOrRegister() {
