A resumed host keeps targets that were listed again meanwhile

Cause: the grace period after an outage of the store, in which expired items reappear, was measured over a pause of the host. Its timers come before it has read the list, and it dropped the targets.

Lists read since are followed as before.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -134,6 +134,9 @@
 constexpr milliseconds ResumedListingTime{200};
 /// Live peers are heard again within this time after a pause.
 constexpr milliseconds PeerCheckTime{600};
+/// The list of targets is read again within this time after a pause: one
+/// request that is repeated after a failure.
+constexpr milliseconds ResumedListTime{StoreTimeout + MinStoreBackoff};
 /// A withdrawn job waits this long for outcomes of its tasks that are already
 /// on their way.
 constexpr milliseconds WithdrawnJobTime{400};
--- a/src/core/pool/ownership.cpp
+++ b/src/core/pool/ownership.cpp
@@ -231,7 +231,7 @@
 
 /// Removes the targets that the platform doesn't list any more. Waits after an
 /// outage of the store, since items that expired during it reappear shortly
-/// after its end.
+/// after its end, and after a pause of this host, in which they may have.
 void removeMissing(reducer_context &Ctx) {
   pool_state &State = Ctx.State;
   const bool IsAfterOutage =
@@ -244,7 +244,8 @@
   }
   std::vector<std::string> Missing;
   for (const auto &[Id, Target] : State.Targets) {
-    if (Target.MissingSince) {
+    if (Target.MissingSince &&
+        !isListUnread(State, *Target.MissingSince, Ctx.Now)) {
       Missing.push_back(Id);
     }
   }
--- a/src/core/pool/pauses.cpp
+++ b/src/core/pool/pauses.cpp
@@ -19,6 +19,7 @@
       Peer.StateNumberBeforePause = Peer.StateNumber;
     }
   }
+  Pause.ResumedAt = Ctx.Now;
   Pause.CallersCheckedBy = Ctx.Now + config::CallerCheckTime;
   Pause.PeersCheckedBy = Ctx.Now + config::PeerCheckTime;
   Ctx.count(counter::Pauses);
@@ -41,6 +42,12 @@
   return Now < State.Pause.PeersCheckedBy;
 }
 
+bool isListUnread(const pool_state &State, boot_time ReadAt, boot_time Now) {
+  const boot_time ResumedAt = State.Pause.ResumedAt;
+  return ResumedAt != boot_time{} && ReadAt < ResumedAt &&
+         Now < ResumedAt + config::ResumedListTime;
+}
+
 boot_time callersKnownAt(const pool_state &State, boot_time Now) {
   return isCheckingCallers(State, Now) ? State.Pause.CallersKnownAt : Now;
 }
--- a/src/core/pool/pauses_p.h
+++ b/src/core/pool/pauses_p.h
@@ -18,6 +18,10 @@
 /// @returns whether live peers may not have been heard yet since a pause
 bool isCheckingPeers(const pool_state &State, boot_time Now);
 
+/// @returns whether what the store told at a time may be out of date: this host
+/// was paused since, and may not have read the store's lists again
+bool isListUnread(const pool_state &State, boot_time ReadAt, boot_time Now);
+
 /// @returns the latest time up to which the departures of callers are known
 boot_time callersKnownAt(const pool_state &State, boot_time Now);
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -187,6 +187,7 @@
 /// What this process knows of its own pauses. Module pauses.
 struct pause_state {
   boot_time LastEventAt; ///< of the latest event, epoch: none yet
+  boot_time ResumedAt;   ///< the end of the latest pause, epoch: none yet
   /// Until CallersCheckedBy, departures of callers are known up to this time
   /// only.
   boot_time CallersKnownAt;
--- a/tests/unit/pool_pause_test.cpp
+++ b/tests/unit/pool_pause_test.cpp
@@ -198,3 +198,51 @@
   World.runFor(20ms);
   CHECK(World.hostMetrics(Host).ConfigurationVersion == NewVersion);
 }
+
+// Guards against targets that are dropped with what is known of them: a host
+// wakes after the grace period that follows an outage of the store, and hasn't
+// read yet that they are listed again.
+TEST_CASE("a resumed host keeps targets that were listed again meanwhile",
+          "[pool]") {
+  const milliseconds PauseTime = GENERATE(2'500ms, 4'000ms);
+  const milliseconds ReadAfter = GENERATE(0ms, 150ms, 400ms);
+  CAPTURE(PauseTime.count(), ReadAfter.count());
+  pool_simulation World(worldOf(1, 1, 1));
+  World.settle();
+  World.post(0, store_reachability{false});
+  World.post(0, store_reachability{true});
+  World.setUnlisted(0, true);
+  World.deliverSnapshot(0);
+  World.runFor(200ms);
+  const std::uint64_t TakenOver = World.counterTotal(counter::TakeOvers);
+  World.pause(0);
+  World.setUnlisted(0, false);
+  World.runFor(PauseTime);
+  World.resume(0);
+  World.runFor(ReadAfter);
+  World.deliverSnapshot(0);
+  World.runFor(3s);
+  CHECK(World.hostMetrics(0).TargetsOwned == World.targetCount());
+  CHECK(World.counterTotal(counter::TakeOvers) == TakenOver);
+}
+
+// Guards against a target that is kept when a host has read, since its pause,
+// that it is gone.
+TEST_CASE("a resumed host drops a target that isn't listed any more",
+          "[pool]") {
+  const bool IsMissingBefore = GENERATE(false, true);
+  CAPTURE(IsMissingBefore);
+  pool_simulation World(worldOf(1, 1, 1));
+  World.settle();
+  World.post(0, store_reachability{false});
+  World.post(0, store_reachability{true});
+  World.setUnlisted(0, IsMissingBefore);
+  World.deliverSnapshot(0);
+  World.pause(0);
+  World.runFor(3s);
+  World.resume(0);
+  World.setUnlisted(0, true);
+  World.deliverSnapshot(0);
+  World.runFor(IsMissingBefore ? 1'200ms : 200ms);
+  CHECK(World.hostMetrics(0).TargetsListed == World.targetCount() - 1);
+}
