Requests that a pause interrupts prove no outage of the store

Cause: libcurl gives up a request whose timeout passed during a pause, also if the answer waits in the socket. Three of them made the store unreachable, and missing targets were kept for 2.5 s.

Change: a request that was sent before a pause and has no response isn't a failure of the store, and its watch is repeated at once.

--- a/src/poolhost/store_watcher.cpp
+++ b/src/poolhost/store_watcher.cpp
@@ -73,14 +73,33 @@
   Outgoing.Timeout = Timeout;
   Outgoing.NewConnection = std::exchange(NewConnection, false);
   Client.send(std::move(Outgoing),
-              [this, Done = std::move(Done)](received_response &&Response) {
-                constexpr int MinFailureStatus = 429;
-                recordReachability(Response.Status != 0 &&
-                                   Response.Status < MinFailureStatus);
+              [this, SentAt = bootNow(),
+               Done = std::move(Done)](received_response &&Response) {
+                notePause(bootNow());
+                recordResponse(SentAt, Response.Status);
                 Done(std::move(Response));
               });
 }
 
+void store_watcher::notePause(boot_time Now) {
+  const boot_time Last = std::exchange(LastPassAt, Now);
+  if (Last != boot_time{} && Last + config::PauseThreshold < Now) {
+    ResumedAt = Now;
+  }
+}
+
+void store_watcher::recordResponse(boot_time SentAt, int Status) {
+  constexpr int MinFailureStatus = 429;
+  const bool IsInterrupted = Status == 0 && SentAt < ResumedAt;
+  if (IsInterrupted) {
+    // It may have been answered: its timeout passed while nobody read.
+    ++FailedRequestCount;
+    NewConnection = true;
+    return;
+  }
+  recordReachability(Status != 0 && Status < MinFailureStatus);
+}
+
 void store_watcher::recordReachability(bool IsReachable) {
   if (IsReachable) {
     ConsecutiveFailures = 0;
@@ -97,6 +116,7 @@
 }
 
 void store_watcher::onTimer(boot_time Now) {
+  notePause(Now);
   for (watched_prefix *Watched : {&Configuration, &Targets, &Members}) {
     if (!Watched->IsRequestInFlight && Watched->DueAt <= Now) {
       readOrWatch(*Watched);
@@ -207,6 +227,10 @@
 void store_watcher::onFailure(watched_prefix &Watched) {
   Watched.PageAfterKey.clear();
   Watched.Pages = {};
+  if (Watched.SentAt < ResumedAt) {
+    Watched.DueAt = bootNow();
+    return;
+  }
   Watched.Backoff = std::clamp<milliseconds>(
       2 * Watched.Backoff, config::MinStoreBackoff, config::MaxStoreBackoff);
   Watched.DueAt = bootNow() + Watched.Backoff;
--- a/src/poolhost/store_watcher.h
+++ b/src/poolhost/store_watcher.h
@@ -78,6 +78,11 @@
   void renewOrRegister();
   void grantMemberLease();
   void writeMember();
+  /// Notes a pass of the event loop, or a response before the first pass after
+  /// a pause.
+  void notePause(boot_time Now);
+  /// Records what a response, or none, proves of the store.
+  void recordResponse(boot_time SentAt, int Status);
   void recordReachability(bool IsReachable);
 
   struct cached_target {
@@ -100,6 +105,8 @@
   bool IsShuttingDown = false;
   std::uint64_t Lease = 0;   ///< 0: none
   bool IsRegistered = false; ///< under the lease
+  boot_time LastPassAt;      ///< of the event loop, epoch: none yet
+  boot_time ResumedAt;       ///< the end of the latest pause, epoch: none yet
   std::uint32_t ConsecutiveFailures = 0;
   bool WasReachable = false;
   bool NewConnection = false;
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -6,6 +6,7 @@
 #include "standins/own_address.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace tarragonbridge;
 using namespace tarragonbridge::poolhost;
@@ -50,6 +51,19 @@
   bool hasTargetsWatch() const { return TargetsWatch.has_value(); }
   std::size_t deliveries() const { return Deliveries; }
   std::uint64_t requestCount() const { return Watcher.requestCount(); }
+  std::size_t losses() const { return Losses; }
+  void rereadConfiguration() { Watcher.rereadConfiguration(); }
+  /// Answers all requests that are open but the watch of the targets.
+  void answerOthers() {
+    for (const request_handle Request : std::exchange(Others, {})) {
+      Server.respond(Request, {200, "{}", {}});
+    }
+  }
+  /// Stands still; what the store has answered waits to be read.
+  void pause(milliseconds Time) {
+    Server.flush(bootNow());
+    std::this_thread::sleep_for(Time);
+  }
 
 private:
   static server_init serverInit(const std::string &Address) {
@@ -64,6 +78,8 @@
     } else if (Received.Path == "/-/kv-watch" &&
                Received.Query.at("prefix") == platform::TargetsPrefix) {
       TargetsWatch = Request;
+    } else {
+      Others.push_back(Request);
     }
   }
 
@@ -72,12 +88,16 @@
   async_http_client Client{Loop, 6};
   async_http_server Server{Loop, serverInit(Address)};
   std::optional<request_handle> TargetsWatch;
+  std::vector<request_handle> Others;
   std::size_t Deliveries = 0;
+  std::size_t Losses = 0; ///< times that the store counted as unreachable
   store_watcher Watcher{
       Client,
       {Address, {}},
       [this](pool::event &&Event) {
         Deliveries += std::holds_alternative<pool::targets_listed>(Event);
+        const auto *Told = std::get_if<pool::store_reachability>(&Event);
+        Losses += Told != nullptr && !Told->IsReachable;
       },
       [](const std::string &, const std::string &) {}};
 };
@@ -97,3 +117,35 @@
   runUntil([&] { return deliveries() > Before; });
   CHECK(requestCount() > RequestsBefore);
 }
+
+// Guards against a store that counts as unreachable, so that targets which have
+// left stay listed: libcurl gives up what was sent before a pause, also if the
+// answers wait to be read.
+TEST_CASE_METHOD(store_fixture,
+                 "requests that a pause interrupts prove no outage", "[pool]") {
+  const bool AreAnswered = GENERATE(false, true);
+  CAPTURE(AreAnswered);
+  constexpr milliseconds PauseTime{2'600}; ///< longer than a watch may take
+  runUntil([this] { return hasTargetsWatch(); });
+  rereadConfiguration();
+  runFor(20ms);
+  if (AreAnswered) {
+    endTargetsWatch();
+    answerOthers();
+  }
+  const std::uint64_t Before = requestCount();
+  pause(PauseTime);
+  runFor(50ms);
+  CHECK(losses() == 0);
+  CHECK(requestCount() > Before); // the watch is repeated at once
+}
+
+// Guards against an outage after a pause that is not noticed.
+TEST_CASE_METHOD(store_fixture, "an outage after a pause is noticed",
+                 "[pool]") {
+  runUntil([this] { return hasTargetsWatch(); });
+  pause(400ms);
+  runFor(50ms);
+  CHECK(losses() == 0);
+  runUntil([this] { return losses() == 1; });
+}
