Test: departures that are read some time after a pause

A suspicion looked into: a departure is read later than in the first pass after a pause.

No code changes.

--- a/tests/unit/pool_pause_test.cpp
+++ b/tests/unit/pool_pause_test.cpp
@@ -246,3 +246,45 @@
   World.runFor(IsMissingBefore ? 1'200ms : 200ms);
   CHECK(World.hostMetrics(0).TargetsListed == World.targetCount() - 1);
 }
+
+namespace {
+/// Callers leave as their host is paused, which reads it some time after it
+/// wakes, and submit their jobs to another one.
+/// @returns the broken rules
+std::string readDeparturesLate(milliseconds PauseTime, milliseconds ReadAfter,
+                               double LateStops, std::uint64_t Seed) {
+  pool_simulation World(worldOf(2, 1, Seed));
+  World.settle();
+  const auto Requests = submitSingles(World, 0, 6, 4s);
+  World.runFor(300ms);
+  World.pause(0);
+  const boot_time ResubmitAt = World.now() + ResubmitDelay;
+  World.runFor(PauseTime);
+  request_faults Faults;
+  Faults.LateStops = LateStops;
+  World.setRequestFaults(Faults);
+  World.resume(0);
+  World.runFor(ReadAfter);
+  for (const request_handle Request : Requests) {
+    World.disconnect(0, Request);
+  }
+  World.runFor(std::max<microseconds>(
+      std::chrono::duration_cast<microseconds>(ResubmitAt - World.now()), 0us));
+  submitSingles(World, 1, 6, 4s);
+  World.setRequestFaults({});
+  World.runFor(6s);
+  return World.violations();
+}
+} // namespace
+
+// Guards against TWICE: not all departures are read in the first pass after a
+// pause.
+TEST_CASE("departures may be read some time after a pause", "[pool]") {
+  const milliseconds PauseTime = GENERATE(300ms, 600ms, 790ms);
+  const milliseconds ReadAfter = GENERATE(20ms, 60ms, 95ms);
+  const double LateStops = GENERATE(0.0, 1.0);
+  const std::uint64_t Seed = GENERATE(1U, 2U);
+  CAPTURE(PauseTime.count(), ReadAfter.count(), LateStops, Seed);
+  CHECK_THAT(readDeparturesLate(PauseTime, ReadAfter, LateStops, Seed),
+             Catch::Equals(""));
+}
