Hold the connections of a process within one budget of memory

Cause: a body was kept per connection, with no bound on the sum over connections and listeners, and refused bodies were read to their end. Change: a budget of unfinished bodies, of jobs and responses held and of connections, derived from limits.memoryMb and limits.fileDescriptors (the daemon: memory_mb, file_descriptors), shared by all listeners. upload_budget decides who goes; connection_guard closes. A body announced over the limit is refused before it is read. Tests: crowds of 700 connections at each port, 16 forms.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -17,6 +17,7 @@
 constexpr std::size_t MaxBodyBytes = 8U << 20U;
 constexpr std::size_t MaxKeyBytes = 128;
 constexpr std::size_t MaxJsonDepth = 64;
+constexpr std::size_t MaxJsonValues = 500'000; ///< of a document
 constexpr milliseconds DefaultTimeLimit{30'000};
 constexpr milliseconds MaxTimeLimit{600'000};
 constexpr milliseconds DefaultExpectedRunTime{200};
@@ -73,8 +74,11 @@
 constexpr std::size_t MinRunTimeSamples = 3;
 constexpr std::size_t MaxRunTimeClasses = 10'000;
 
-// Connections.
-constexpr unsigned MaxCallerConnections = 4'000;
+// Connections. What they may hold is derived from the process's limits.
+constexpr std::uint32_t DefaultMemoryMb = 1'024;
+constexpr std::uint32_t MinMemoryMb = 32;
+constexpr std::uint32_t MinFileDescriptors = 300;
+constexpr unsigned MaxCallerConnections = 4'000; ///< of a server by itself
 constexpr unsigned ServerThreads = 2;
 constexpr seconds ServerIdleTimeout{30};
 constexpr milliseconds MaxUploadTime{10'000};
@@ -89,7 +93,6 @@
 constexpr milliseconds ClaimTimeout{2'000};
 constexpr milliseconds FetchWait{5'000};
 constexpr milliseconds FetchTimeoutMargin{1'000};
-constexpr unsigned MaxPeerConnections = 1'000;
 constexpr long MaxConnectionsPerPeer = 200;
 constexpr milliseconds HeartbeatInterval{1'000};
 constexpr std::size_t HeartbeatsPerInterval = 2;
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -86,7 +86,8 @@
           "application/json"};
 }
 
-std::string formatMetrics(const dispatcher_figures &Figures) {
+std::string formatMetrics(const dispatcher_figures &Figures,
+                          const upload_figures &Uploads) {
   std::ostringstream Text;
   const auto Write = [&](std::string_view Name, std::string_view Type,
                          auto Value) {
@@ -103,6 +104,9 @@
   Write("jobs_kept", "gauge", Figures.JobsKept);
   Write("targets", "gauge", Figures.Targets);
   Write("settings_revision", "gauge", Figures.SettingsRevision);
+  addMetrics(Uploads, [&](std::string_view Name, auto Value) {
+    Write(Name, Name.ends_with("_total") ? "counter" : "gauge", Value);
+  });
   Text << "# TYPE tarragonbridge_reasons_total counter\n";
   constexpr std::array<std::string_view, 4> Kinds{"refusal", "failure", "retry",
                                                   "ignored"};
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -19,6 +19,7 @@
 http_response refusalResponse(const error &Error);
 
 /// @returns the text of /metrics
-std::string formatMetrics(const dispatcher_figures &Figures);
+std::string formatMetrics(const dispatcher_figures &Figures,
+                          const upload_figures &Uploads);
 
 } // namespace tarragonbridge
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,8 @@
 #include "base/codec.h"
 #include "base/log.h"
 
+#include <algorithm>
+#include <sys/resource.h>
 #include <thread>
 
 namespace tarragonbridge {
@@ -11,6 +13,7 @@
 namespace {
 constexpr int StatusUnavailable = 503;
 constexpr milliseconds ShutdownPollInterval{10};
+constexpr std::size_t MaxDescriptors = 16'000;
 
 http_response toResponse(answer_request &&Answer) {
   http_response Response;
@@ -34,20 +37,39 @@
   return Init;
 }
 
-http_server_init makeServerInit(const daemon_config &Config) {
+std::size_t descriptorsOf(const daemon_config &Config) {
+  rlimit Limit{};
+  const bool IsKnown = getrlimit(RLIMIT_NOFILE, &Limit) == 0;
+  const std::size_t Allowed = IsKnown ? Limit.rlim_cur : MaxDescriptors;
+  const std::size_t Wanted =
+      Config.FileDescriptors != 0 ? Config.FileDescriptors : MaxDescriptors;
+  return std::min({Wanted, Allowed, MaxDescriptors});
+}
+
+std::shared_ptr<connection_guard> makeGuard(const daemon_config &Config) {
+  upload_limits Limits = makeUploadLimits(std::size_t{Config.MemoryMb} << 20U,
+                                          descriptorsOf(Config));
+  Limits.MaxUploadTime = config::MaxUploadTime;
+  return makeServerGuard(Limits);
+}
+
+http_server_init makeServerInit(const daemon_config &Config,
+                                std::shared_ptr<connection_guard> Guard) {
   http_server_init Init;
+  Init.Guard = std::move(Guard);
   Init.Listen = Config.Listen;
   return Init;
 }
 } // namespace
 
 daemon::daemon(const daemon_config &Config)
-    : Init(makeInit(Config)), Server(makeServerInit(Config)),
+    : Init(makeInit(Config)), Guard(makeGuard(Config)),
+      Server(makeServerInit(Config, Guard)),
       Loop(makeDispatcher(Init),
            [this](effect &&Effect) { carryOut(std::move(Effect)); }),
       Targets(TargetClient,
               [this](event &&Event) { Loop.post(std::move(Event)); }),
-      Peers(Init.Self, Config.PeerListen,
+      Peers(Init.Self, Config.PeerListen, Guard,
             [this](event &&Event) { Loop.post(std::move(Event)); }) {}
 
 daemon::~daemon() {
@@ -104,7 +126,8 @@
   if (Request.Path == "/metrics") {
     Server.respond(Handle,
                    {200,
-                    formatMetrics(Loop.currentFigures()) + Times.format(),
+                    formatMetrics(Loop.currentFigures(), Guard->figures()) +
+                        Times.format(),
                     {},
                     "text/plain"});
     return true;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -40,6 +40,7 @@
   bool Finished = false; ///< guarded by Mutex
   std::atomic<bool> ShuttingDown{false};
   time_histograms Times;
+  std::shared_ptr<connection_guard> Guard; ///< of all servers
   http_server Server;
   event_loop Loop; ///< outlives the clients, which post to it until they end
   http_client TargetClient;
--- a/src/daemon/daemon_config.cpp
+++ b/src/daemon/daemon_config.cpp
@@ -49,6 +49,8 @@
   Reader.required("listen", Config.Listen);
   Reader.required("peer_listen", Config.PeerListen);
   Reader.required("store", Config.Store);
+  Reader.optional("memory_mb", Config.MemoryMb);
+  Reader.optional("file_descriptors", Config.FileDescriptors);
   Reader.finish();
   checkLabel(Document, "host", Config.Host);
   checkLabel(Document, "failure_domain", Config.FailureDomain);
@@ -61,6 +63,13 @@
   if (Document.isValid() && Config.Store.empty()) {
     Document.addFault("store", nullptr, "at least one address");
   }
+  if (Config.MemoryMb < config::MinMemoryMb) {
+    Document.addFault("memory_mb", nullptr, "enough for a daemon");
+  }
+  if (Config.FileDescriptors != 0 &&
+      Config.FileDescriptors < config::MinFileDescriptors) {
+    Document.addFault("file_descriptors", nullptr, "enough for a daemon");
+  }
   if (!Document.isValid()) {
     return refuse(File, Document.faults());
   }
--- a/src/daemon/daemon_config.h
+++ b/src/daemon/daemon_config.h
@@ -1,6 +1,7 @@
 /// The daemon's own configuration file.
 #pragma once
 
+#include "tarragonbridge/config.h"
 #include "tarragonbridge/error.h"
 #include "tarragonbridge/placement.h"
 
@@ -16,6 +17,9 @@
   std::string Listen;     ///< callers and operators
   std::string PeerListen; ///< other entry hosts
   std::vector<std::string> Store;
+  std::uint32_t MemoryMb = config::DefaultMemoryMb; ///< of the process
+  /// Of the process; 0: as many as the process may open at its start.
+  std::uint32_t FileDescriptors = 0;
   placement_kind Placement =
       placement_kind::Expected; ///< option, not in the file
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 /// tarragonbridged: the daemon of an entry host.
 #include "base/log.h"
+#include "base/memory.h"
 #include "base/signals.h"
 #include "daemon/daemon.h"
 
@@ -13,6 +14,7 @@
 constexpr int ExitBadConfiguration = 2;
 
 int serve(const daemon_config &Config) {
+  returnFreedMemory();
   blockTerminationSignals();
   initLog({"tarragonbridged",
            log_writer::Thread,
--- a/src/daemon/peer_calls.cpp
+++ b/src/daemon/peer_calls.cpp
@@ -35,11 +35,12 @@
   };
 }
 
-http_server_init serverInit(const std::string &Listen) {
+http_server_init serverInit(const std::string &Listen,
+                            std::shared_ptr<connection_guard> Guard) {
   http_server_init Init;
+  Init.Guard = std::move(Guard);
   Init.Listen = Listen;
   Init.Threads = 1;
-  Init.MaxConnections = config::MaxPeerConnections;
   Init.MaxBodyBytes = config::MaxPeerRequestBytes;
   return Init;
 }
@@ -72,9 +73,10 @@
 } // namespace
 
 peer_calls::peer_calls(host_identity Self, const std::string &Listen,
-                       event_sink Sink)
+                       std::shared_ptr<connection_guard> Guard, event_sink Sink)
     : Self(std::move(Self)), Sink(std::move(Sink)), Rpc(methods()),
-      Server(serverInit(Listen)), Client(config::MaxConnectionsPerPeer) {}
+      Server(serverInit(Listen, std::move(Guard))),
+      Client(config::MaxConnectionsPerPeer) {}
 
 result<void> peer_calls::start() {
   return Server.start([this](request_handle Handle, http_request &&Request) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -16,19 +16,25 @@
 namespace tarragonbridge {
 
 namespace {
-constexpr int StatusRequestTimeout = 408;
 constexpr int StatusTooLarge = 413;
+constexpr int StatusTooMany = 429;
+/// Of a refused body, before its connection is closed.
+constexpr std::size_t MaxDroppedBytes = 1U << 20U;
+/// Of a server that shares no guard.
+constexpr upload_limits OwnLimits{config::MaxCallerConnections, 1U << 30U,
+                                  1U << 30U, config::MaxUploadTime};
 constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
 
 /// A request, from its first byte until its response is sent or its connection
 /// closes.
 struct exchange {
   MHD_Connection *Connection = nullptr;
+  connection_handle Guarded{};
   request_handle Handle{};
   http_request Request;
-  boot_time StartedAt;
   std::optional<http_response> Response;
-  int EarlyStatus = 0; ///< status that rejects an unread body; 0: none
+  bool IsRefused = false; ///< while its body was read, which is dropped
+  std::size_t DroppedBytes = 0;
   bool Delivered = false;
   bool IsStream = false;
   bool StreamEnded = false;
@@ -117,19 +123,10 @@
 /// @returns the response to a request that is open when the server stops
 http_response stoppingResponse() { return {503, "", {}, "application/json"}; }
 
-http_response earlyRefusal(int Status) {
-  const std::string Reason =
-      Status == StatusTooLarge ? "too_large" : "malformed";
-  const std::string Message = Status == StatusTooLarge
-                                  ? "the body is too large"
-                                  : "the body took too long to arrive";
-  return {
-      Status,
-      R"({"key":"","state":"refused","reason":")" + Reason +
-          R"(","not_run":true,"step":"read body","peer":"caller","message":")" +
-          Message + R"("})",
-      {},
-      "application/json"};
+std::string refusalBody(std::string_view Reason, std::string_view Message) {
+  return R"({"key":"","state":"refused","reason":")" + std::string(Reason) +
+         R"(","not_run":true,"step":"read body","peer":"caller","message":")" +
+         std::string(Message) + R"("})";
 }
 } // namespace
 
@@ -146,7 +143,8 @@
 
   exchange *open(MHD_Connection *Connection, const char *Path,
                  const char *Method);
-  void readBody(exchange &Exchange, std::string_view Part) const;
+  bool readBody(exchange &Exchange, std::string_view Part) const;
+  void refuseTooLarge(exchange &Exchange) const;
   MHD_Result deliver(exchange &Exchange);
   MHD_Result answer(exchange &Exchange);
 
@@ -164,7 +162,8 @@
   Exchange->Connection = Connection;
   Exchange->Handle = request_handle(NextHandle++);
   Exchange->Mutex = &Mutex;
-  Exchange->StartedAt = bootNow();
+  Exchange->Guarded = connection_guard::handleOf(Connection);
+  Init.Guard->beginRequest(Exchange->Guarded, bootNow());
   Exchange->Request.Method = Method;
   Exchange->Request.Path = Path;
   Exchange->Request.Peer = peerOf(Connection);
@@ -172,30 +171,47 @@
                             &Exchange->Request.Headers);
   MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, collectQuery,
                             &Exchange->Request.Query);
+  if (announcedBodyBytes(Connection) > Init.MaxBodyBytes) {
+    refuseTooLarge(*Exchange);
+  }
   ++Open;
   return Exchange;
 }
 
-void http_server::impl::readBody(exchange &Exchange,
+void http_server::impl::refuseTooLarge(exchange &Exchange) const {
+  Exchange.IsRefused = true;
+  Exchange.Request.Body = {};
+  Init.Guard->refuse(Exchange.Guarded, StatusTooLarge,
+                     refusalBody("too_large", "the body is too large"),
+                     bootNow());
+}
+
+/// @returns false if the connection has to be closed
+bool http_server::impl::readBody(exchange &Exchange,
                                  std::string_view Part) const {
-  if (Exchange.EarlyStatus != 0) {
-    return;
+  std::string &Body = Exchange.Request.Body;
+  if (!Exchange.IsRefused && Body.size() + Part.size() > Init.MaxBodyBytes) {
+    refuseTooLarge(Exchange);
   }
-  if (Exchange.Request.Body.size() + Part.size() > Init.MaxBodyBytes) {
-    Exchange.EarlyStatus = StatusTooLarge;
-  } else if (bootNow() - Exchange.StartedAt > Init.MaxUploadTime) {
-    Exchange.EarlyStatus = StatusRequestTimeout;
-  } else {
-    Exchange.Request.Body += Part;
-    return;
+  if (Exchange.IsRefused) {
+    Exchange.DroppedBytes += Part.size();
+    return Exchange.DroppedBytes <= MaxDroppedBytes;
   }
-  Exchange.Request.Body = {};
+  Body += Part;
+  Init.Guard->setUnfinished(Exchange.Guarded, Body.capacity(), bootNow());
+  return true;
 }
 
 MHD_Result http_server::impl::deliver(exchange &Exchange) {
-  if (Exchange.EarlyStatus != 0) {
-    return queueResponse(Exchange.Connection,
-                         earlyRefusal(Exchange.EarlyStatus));
+  if (Exchange.IsRefused || !Init.Guard->complete(Exchange.Guarded)) {
+    return MHD_NO;
+  }
+  if (!Init.Guard->hold(Exchange.Guarded, Exchange.Request.Body.capacity())) {
+    return queueResponse(
+        Exchange.Connection,
+        http_response{StatusTooMany,
+                      refusalBody("queue_full", "too many bytes of jobs"),
+                      {{"Retry-After", "1"}}});
   }
   const request_handle Handle = Exchange.Handle;
   http_request Request = std::move(Exchange.Request);
@@ -219,9 +235,12 @@
   if (!Exchange.Response) {
     return MHD_YES;
   }
-  return Exchange.IsStream
-             ? queueStream(Exchange)
-             : queueResponse(Exchange.Connection, *Exchange.Response);
+  if (Exchange.IsStream) {
+    return queueStream(Exchange);
+  }
+  Init.Guard->answer(Exchange.Guarded, Exchange.Response->Body.size(),
+                     bootNow());
+  return queueResponse(Exchange.Connection, *Exchange.Response);
 }
 
 MHD_Result http_server::impl::onAccess(void *Cls, MHD_Connection *Connection,
@@ -236,9 +255,9 @@
   }
   auto &Exchange = *static_cast<exchange *>(*Context);
   if (*Size != 0) {
-    Self.readBody(Exchange, {Data, *Size});
+    const bool GoesOn = Self.readBody(Exchange, {Data, *Size});
     *Size = 0;
-    return MHD_YES;
+    return GoesOn ? MHD_YES : MHD_NO;
   }
   return Exchange.Delivered ? Self.answer(Exchange) : Self.deliver(Exchange);
 }
@@ -255,6 +274,7 @@
     const std::lock_guard Lock(Self.Mutex);
     Self.OpenExchanges.erase(static_cast<std::uint64_t>(Exchange->Handle));
   }
+  Self.Init.Guard->finish(Exchange->Guarded, bootNow());
   delete Exchange;
   *Context = nullptr;
   --Self.Open;
@@ -273,6 +293,14 @@
 http_server::http_server(const http_server_init &Init)
     : Impl(std::make_unique<impl>()) {
   Impl->Init = Init;
+  if (!Impl->Init.Guard) {
+    Impl->Init.Guard = makeServerGuard(OwnLimits);
+  }
+}
+
+std::shared_ptr<connection_guard> makeServerGuard(const upload_limits &Limits) {
+  return std::make_shared<connection_guard>(
+      Limits, refusalBody("queue_full", "the request was cut off"));
 }
 
 result<void> http_server::start(handler Handler) {
@@ -291,7 +319,9 @@
   Impl->Daemon = MHD_start_daemon(
       Flags, 0, nullptr, nullptr, &impl::onAccess, Impl.get(),
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&*Address),
-      MHD_OPTION_CONNECTION_LIMIT, Init.MaxConnections,
+      MHD_OPTION_NOTIFY_CONNECTION, &connection_guard::onConnection,
+      Init.Guard.get(), MHD_OPTION_CONNECTION_LIMIT,
+      Init.Guard->maxConnections() * Init.Threads,
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(Init.IdleTimeout.count()),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
@@ -300,6 +330,7 @@
   if (Impl->Daemon == nullptr) {
     return Fail("can't listen on this address");
   }
+  limitSocketBuffers(Impl->Daemon);
   return {};
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,6 +1,7 @@
 /// HTTP server on libmicrohttpd; requests are held until they are answered.
 #pragma once
 
+#include "net/connection_guard.h"
 #include "tarragonbridge/config.h"
 #include "tarragonbridge/error.h"
 #include "tarragonbridge/event.h"
@@ -40,12 +41,16 @@
 struct http_server_init {
   std::string Listen; ///< IP and port
   unsigned Threads = config::ServerThreads;
-  unsigned MaxConnections = config::MaxCallerConnections;
   std::size_t MaxBodyBytes = config::MaxBodyBytes;
   std::chrono::seconds IdleTimeout = config::ServerIdleTimeout;
-  std::chrono::milliseconds MaxUploadTime = config::MaxUploadTime;
+  /// Shared by all servers of the process; one of its own if there is none.
+  std::shared_ptr<connection_guard> Guard{};
 };
 
+/// @param[in] Limits of all servers of the process
+/// @returns a guard whose refusals are told as those of this server
+std::shared_ptr<connection_guard> makeServerGuard(const upload_limits &Limits);
+
 class http_server {
 public:
   /// Called on a server thread for each whole request; must not block.
--- a/src/poolhost/async_http_server.cpp
+++ b/src/poolhost/async_http_server.cpp
@@ -17,15 +17,21 @@
 constexpr int StatusTooLarge = 413;
 constexpr int StatusClientClosedRequest = 499; ///< never reaches the caller
 constexpr std::size_t ConnectionMemoryBytes = 20U << 10U;
+/// Of a refused body, before its connection is closed.
+constexpr std::size_t MaxDroppedBytes = 1U << 20U;
+/// Of a server that shares no guard.
+constexpr upload_limits OwnLimits{2'000, 1U << 30U, 1U << 30U};
 
 /// A request from its first byte to the end of its response.
 struct exchange {
   MHD_Connection *Connection = nullptr;
+  connection_handle Guarded{};
   request_handle Handle{};
   server_request Request;
   std::optional<server_response> Response;
   int Fd = -1;
-  bool IsTooLarge = false;
+  bool IsRefused = false; ///< while its body was read, which is dropped
+  std::size_t DroppedBytes = 0;
   bool IsDispatched = false; ///< its handler was called
   bool IsSuspended = false;
   bool IsResponseQueued = false;
@@ -75,11 +81,16 @@
   std::uint64_t Malformed = 0;
   bool IsRunPending = false;
   boot_time DueAt = boot_time::max();
+  boot_time RunAt; ///< the latest run() began
 
   void run();
   MHD_Result onData(MHD_Connection *Connection, const char *Path,
                     const char *Method, const char *Data, std::size_t *Size,
                     void **Context);
+  void *beginExchange(MHD_Connection *Connection, const char *Path,
+                      const char *Method);
+  bool readBody(exchange &Exchange, std::string_view Part);
+  void refuseTooLarge(exchange &Exchange);
   void dispatch(exchange &Exchange);
   MHD_Result sendResponse(exchange &Exchange);
   void suspend(exchange &Exchange);
@@ -90,6 +101,7 @@
 
 void async_http_server::impl::run() {
   IsRunPending = false;
+  RunAt = bootNow();
   MHD_run(Daemon);
   // Data that libmicrohttpd has already read raises no epoll event; its timeout
   // tells whether any is pending.
@@ -102,36 +114,62 @@
   DueAt = bootNow() + milliseconds(TimeoutMs);
 }
 
+void *async_http_server::impl::beginExchange(MHD_Connection *Connection,
+                                             const char *Path,
+                                             const char *Method) {
+  auto *Exchange = new exchange; // freed by onCompleted
+  Exchange->Connection = Connection;
+  Exchange->Guarded = connection_guard::handleOf(Connection);
+  Exchange->Handle = nextHandle();
+  Exchange->Request.Method = Method;
+  Exchange->Request.Path = Path;
+  Init.Guard->beginRequest(Exchange->Guarded, RunAt);
+  if (announcedBodyBytes(Connection) > Init.MaxBodyBytes) {
+    refuseTooLarge(*Exchange);
+  }
+  return Exchange;
+}
+
+void async_http_server::impl::refuseTooLarge(exchange &Exchange) {
+  Exchange.IsRefused = true;
+  Exchange.Request.Body = {};
+  Init.Guard->refuse(Exchange.Guarded, StatusTooLarge, "{}", RunAt);
+}
+
+/// @returns false if the connection has to be closed
+bool async_http_server::impl::readBody(exchange &Exchange,
+                                       std::string_view Part) {
+  std::string &Body = Exchange.Request.Body;
+  if (!Exchange.IsRefused && Body.size() + Part.size() > Init.MaxBodyBytes) {
+    refuseTooLarge(Exchange);
+  }
+  if (Exchange.IsRefused) {
+    Exchange.DroppedBytes += Part.size();
+    return Exchange.DroppedBytes <= MaxDroppedBytes;
+  }
+  Body.append(Part);
+  Init.Guard->setUnfinished(Exchange.Guarded, Body.capacity(), RunAt);
+  return true;
+}
+
 MHD_Result async_http_server::impl::onData(MHD_Connection *Connection,
                                            const char *Path, const char *Method,
                                            const char *Data, std::size_t *Size,
                                            void **Context) {
-  auto *Exchange = static_cast<exchange *>(*Context);
-  if (Exchange == nullptr) {
-    Exchange = new exchange; // freed by onCompleted
-    Exchange->Connection = Connection;
-    Exchange->Handle = nextHandle();
-    Exchange->Request.Method = Method;
-    Exchange->Request.Path = Path;
-    *Context = Exchange;
+  if (*Context == nullptr) {
+    *Context = beginExchange(Connection, Path, Method);
     return MHD_YES;
   }
+  auto *Exchange = static_cast<exchange *>(*Context);
   if (*Size > 0) {
-    Exchange->IsTooLarge =
-        Exchange->IsTooLarge ||
-        Exchange->Request.Body.size() + *Size > Init.MaxBodyBytes;
-    if (!Exchange->IsTooLarge) {
-      Exchange->Request.Body.append(Data, *Size);
-    }
+    const bool GoesOn = readBody(*Exchange, {Data, *Size});
     *Size = 0;
-    return MHD_YES;
-  }
-  if (Exchange->IsTooLarge) {
-    ++Malformed;
-    Exchange->IsResponseQueued = true;
-    return queueResponse(Connection, server_response{StatusTooLarge, "{}", {}});
+    return GoesOn ? MHD_YES : MHD_NO;
   }
   if (!Exchange->IsDispatched) {
+    if (Exchange->IsRefused || !Init.Guard->complete(Exchange->Guarded)) {
+      return MHD_NO;
+    }
     dispatch(*Exchange);
   }
   if (Exchange->Response) {
@@ -163,6 +201,7 @@
 MHD_Result async_http_server::impl::sendResponse(exchange &Exchange) {
   OpenExchanges.erase(static_cast<std::uint64_t>(Exchange.Handle));
   Exchange.IsResponseQueued = true;
+  Init.Guard->answer(Exchange.Guarded, Exchange.Response->Body.size(), RunAt);
   return queueResponse(Exchange.Connection, *Exchange.Response);
 }
 
@@ -205,6 +244,7 @@
   } else if (!Exchange->IsResponseQueued) {
     ++Malformed; // ended before it was complete
   }
+  Init.Guard->finish(Exchange->Guarded, RunAt);
   delete Exchange;
 }
 
@@ -222,7 +262,12 @@
                     {},
                     0,
                     false,
-                    boot_time::max()}) {}
+                    boot_time::max(),
+                    {}}) {
+  if (!Impl->Init.Guard) {
+    Impl->Init.Guard = std::make_shared<connection_guard>(OwnLimits, "{}");
+  }
+}
 
 async_http_server::~async_http_server() {
   if (Impl->Daemon == nullptr) {
@@ -265,8 +310,9 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, ntohs(Address->sin_port),
         nullptr, nullptr, OnData, Impl.get(), MHD_OPTION_SOCK_ADDR, &*Address,
         MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, Impl.get(),
-        MHD_OPTION_CONNECTION_LIMIT, Impl->Init.MaxConnections,
-        MHD_OPTION_CONNECTION_TIMEOUT,
+        MHD_OPTION_NOTIFY_CONNECTION, &connection_guard::onConnection,
+        Impl->Init.Guard.get(), MHD_OPTION_CONNECTION_LIMIT,
+        Impl->Init.Guard->maxConnections(), MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(Impl->Init.IdleTimeout.count()),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
         MHD_OPTION_END);
@@ -276,6 +322,7 @@
                                         reason::Malformed,
                                         "can't listen on the address"});
   }
+  limitSocketBuffers(Impl->Daemon);
   Impl->Loop.watch(Impl->epollFd(), EPOLLIN,
                    [this](std::uint32_t) { Impl->run(); });
   return {};
@@ -299,7 +346,15 @@
   return true;
 }
 
+bool async_http_server::hold(request_handle Request, std::size_t Bytes) {
+  const auto Found =
+      Impl->OpenExchanges.find(static_cast<std::uint64_t>(Request));
+  return Found != Impl->OpenExchanges.end() &&
+         Impl->Init.Guard->hold(Found->second->Guarded, Bytes);
+}
+
 void async_http_server::flush(boot_time Now) {
+  Impl->Init.Guard->closeOverdue(Now);
   constexpr int MaxRounds = 8; // lets the loop handle its other events
   for (int Round = 0;
        Round < MaxRounds && (Impl->IsRunPending || Impl->DueAt <= Now);
--- a/src/poolhost/async_http_server.h
+++ b/src/poolhost/async_http_server.h
@@ -2,6 +2,7 @@
 /// set.
 #pragma once
 
+#include "net/connection_guard.h"
 #include "poolhost/epoll_loop.h"
 #include "tarragonbridge/error.h"
 #include "tarragonbridge/ids.h"
@@ -44,8 +45,9 @@
   std::string ListenAddress; ///< IP and port
   std::string TimeLimitHeader;
   std::size_t MaxBodyBytes = 256U << 10U;
-  unsigned MaxConnections = 2'000;
   std::chrono::seconds IdleTimeout{60};
+  /// Shared by all servers of the process.
+  std::shared_ptr<connection_guard> Guard{};
 };
 
 class async_http_server {
@@ -67,6 +69,11 @@
   ///
   /// @returns false if the request is not an open one of this server
   bool respond(request_handle Request, server_response Response);
+  /// Counts memory of a request's job against what the process may hold, until
+  /// the response.
+  ///
+  /// @returns false if there is no room: the request has to be refused
+  bool hold(request_handle Request, std::size_t Bytes);
   /// Sends pending responses, and processes timeouts that are due.
   void flush(boot_time Now);
   /// @returns when flush() is due at the latest
--- a/src/poolhost/main.cpp
+++ b/src/poolhost/main.cpp
@@ -1,4 +1,5 @@
 #include "base/log.h"
+#include "base/memory.h"
 #include "platform/settings.h"
 #include "poolhost/program.h"
 #include "poolhost/signal_pipe.h"
@@ -72,6 +73,7 @@
           std::cout << "settings are valid\n";
           return 0;
         }
+        returnFreedMemory();
         installSignalHandlers();
         initLog(logInit(Settings.Host));
         program Program(Settings);
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -14,12 +14,30 @@
 namespace {
 namespace config = pool::config;
 
-server_init serverInit(const std::string &Listen) {
+std::shared_ptr<connection_guard>
+makeGuard(const platform::process_settings &Settings) {
+  return std::make_shared<connection_guard>(
+      makeUploadLimits(Settings.MemoryBytes, Settings.FileDescriptors), "{}");
+}
+
+/// @returns an estimate of the memory that a job takes while it is open
+std::size_t heldBytes(const pool::job_submission &Job) {
+  std::size_t Tasks = 0;
+  for (const pool::job_step &Step : Job.Steps) {
+    Tasks += std::min<std::size_t>(Step.Count, config::MaxTasksPerJob);
+  }
+  return Job.Specification.capacity() +
+         Job.Steps.capacity() * sizeof(pool::job_step) +
+         std::min(Tasks, config::MaxTasksPerJob) * config::HeldBytesPerTask;
+}
+
+server_init serverInit(const std::string &Listen,
+                       std::shared_ptr<connection_guard> Guard) {
   server_init Init;
   Init.ListenAddress = Listen;
   Init.TimeLimitHeader = platform::TimeLimitHeader;
   Init.MaxBodyBytes = config::MaxBodyBytes;
-  Init.MaxConnections = config::MaxCallerConnections;
+  Init.Guard = std::move(Guard);
   Init.IdleTimeout = config::CallerIdleTimeout;
   return Init;
 }
@@ -64,11 +82,12 @@
             ++InvalidStoreItems;
             logEvent("store_entry_refused", {{"key", Key}, {"reason", Reason}});
           }),
-      CallerServer(Loop, serverInit(Given.CallerAddress)),
-      ReadinessServer(Loop, serverInit(Given.ReadinessAddress)) {
+      Guard(makeGuard(Given)),
+      CallerServer(Loop, serverInit(Given.CallerAddress, Guard)),
+      ReadinessServer(Loop, serverInit(Given.ReadinessAddress, Guard)) {
   if (!Given.MetricsAddress.empty()) {
     MetricsServer = std::make_unique<async_http_server>(
-        Loop, serverInit(Given.MetricsAddress));
+        Loop, serverInit(Given.MetricsAddress, Guard));
   }
 }
 
@@ -186,6 +205,12 @@
     Server.respond(Request, {400, "{}", {}});
     return;
   }
+  if (!Server.hold(Request, heldBytes(Submitted.Job))) {
+    logEvent("body_refused",
+             {{"path", Received.Path}, {"reason", "jobs_held"}});
+    Server.respond(Request, {429, "{}", {{"Retry-After", "1"}}});
+    return;
+  }
   Submitted.HostName = std::move(Received.HostName);
   Submitted.Path = std::move(Received.Path);
   Submitted.TimeLimit = platform::decodeTimeLimit(Received.TimeLimit);
@@ -316,6 +341,7 @@
   Add("requests_open", CallerServer.openRequests());
   Add("requests_malformed_total",
       CallerServer.malformedRequests() + MalformedBodies);
+  addMetrics(Guard->figures(), Add);
   Add("datagrams_refused_total", MalformedDatagrams);
   Add("event_loop_stalls_total", Stalls);
   Add("store_entries_refused_total", InvalidStoreItems);
--- a/src/poolhost/program.h
+++ b/src/poolhost/program.h
@@ -55,6 +55,7 @@
   datagram_socket PeerSocket;
   pool::pool_host Host;
   store_watcher StoreWatcher;
+  std::shared_ptr<connection_guard> Guard; ///< of all servers
   async_http_server CallerServer;
   async_http_server ReadinessServer;
   std::unique_ptr<async_http_server> MetricsServer;
--- /dev/null
+++ b/tests/unit/upload_budget_test.cpp
@@ -0,0 +1,116 @@
+/// Which connections go when their requests hold too much.
+#include "base/upload_budget.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace tarragonbridge;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr std::size_t Kib = 1'024;
+constexpr upload_limits Limits{4, 100 * Kib, 100 * Kib};
+
+/// What one connection does, at a time after the start.
+struct upload {
+  milliseconds At{};
+  std::size_t Bytes = 0;
+  bool IsComplete = false;
+};
+
+struct evict_case {
+  std::string Name;
+  std::vector<upload> Uploads;
+  milliseconds At{};             ///< of the decision
+  std::vector<std::size_t> Gone; ///< indices of uploads, in order
+  eviction_reason Reason{};
+};
+} // namespace
+
+TEST_CASE("connections that have to go") {
+  using reason = eviction_reason;
+  const auto Case = GENERATE(values<evict_case>({
+      {"room for all", {{0ms, 90 * Kib}, {0ms, 8 * Kib}}, 100ms, {}, {}},
+      {"no progress, the longest first",
+       {{10ms, 60 * Kib}, {0ms, 60 * Kib}, {1'900ms, 60 * Kib}},
+       2'000ms,
+       {1, 0},
+       reason::Stalled},
+      {"the newest of those that go on",
+       {{0ms, 60 * Kib}, {10ms, 60 * Kib}},
+       500ms,
+       {1},
+       reason::Newest},
+      {"small ones stay",
+       {{0ms, 120 * Kib}, {10ms, 8 * Kib}, {20ms, 5 * Kib}},
+       500ms,
+       {0},
+       reason::Newest},
+      {"complete ones stay",
+       {{0ms, 120 * Kib, true}, {10ms, 120 * Kib}},
+       500ms,
+       {1},
+       reason::Newest},
+      {"complete ones stay when connections are too many",
+       {{0ms, 0, true}, {0ms, 0, true}, {0ms, 0, true}, {0ms, 0, true}, {9ms}},
+       500ms,
+       {4},
+       reason::Connections},
+      {"the longest without progress when connections are too many",
+       {{5ms, 1}, {0ms, 1}, {900ms, 1}, {901ms, 1}, {902ms, 1}},
+       1'100ms,
+       {1},
+       reason::Connections},
+      {"a request that takes too long",
+       {{0ms, 1}, {1ms, 0, true}},
+       30'001ms,
+       {0},
+       reason::TooSlow},
+  }));
+  CAPTURE(Case.Name);
+  const boot_time Start{1h};
+  upload_budget Budget(Limits);
+  std::vector<connection_handle> Handles;
+  for (const upload &Upload : Case.Uploads) {
+    const boot_time At = Start + Upload.At;
+    Handles.push_back(Budget.open(At));
+    Budget.beginRequest(Handles.back(), At);
+    Budget.setUnfinished(Handles.back(), Upload.Bytes, At);
+    if (Upload.IsComplete) {
+      CHECK(Budget.complete(Handles.back()));
+    }
+  }
+  const auto Evictions = Budget.evict(Start + Case.At);
+  REQUIRE(Evictions.size() == Case.Gone.size());
+  for (std::size_t Index = 0; Index < Case.Gone.size(); ++Index) {
+    const connection_handle Gone = Handles.at(Case.Gone[Index]);
+    CHECK(Evictions[Index].Connection == Gone);
+    CHECK(Evictions[Index].Reason == Case.Reason);
+    CHECK(Evictions[Index].HasRequest);
+    CHECK_FALSE(Budget.complete(Gone)); // its client was told otherwise
+  }
+  for (const connection_handle Handle : Handles) {
+    Budget.close(Handle);
+  }
+  CHECK(Budget.figures().UnfinishedBytes == 0);
+  CHECK(Budget.figures().Connections == 0);
+}
+
+TEST_CASE("jobs are held up to the limit, small ones always") {
+  upload_budget Budget(Limits);
+  const auto Hold = [&](std::size_t Bytes) {
+    const connection_handle Handle = Budget.open(boot_time{});
+    Budget.beginRequest(Handle, boot_time{});
+    CHECK(Budget.complete(Handle));
+    const bool IsHeld = Budget.hold(Handle, Bytes);
+    return std::pair(Handle, IsHeld);
+  };
+  const auto [First, IsFirstHeld] = Hold(100 * Kib);
+  CHECK(IsFirstHeld);
+  CHECK_FALSE(Hold(100 * Kib).second);
+  CHECK(Hold(8 * Kib).second);
+  Budget.answer(First, 0, boot_time{});
+  Budget.finish(First, boot_time{});
+  CHECK(Hold(100 * Kib).second);
+}
--- /dev/null
+++ b/tools/crowd/main.cpp
@@ -0,0 +1,166 @@
+/// Crowd of clients that send large or unfinished requests and stay open.
+///
+/// Prints "held" once every connection has sent all, was closed or takes
+/// nothing more, and then keeps them open until the time is over.
+#include "base/clock.h"
+#include "crowd/forms.h"
+#include "net/address.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+namespace tarragonbridge::crowd {
+
+namespace {
+constexpr milliseconds MaxSilence{2'000}; ///< then servers take nothing more
+constexpr milliseconds WaitStep{100};
+constexpr int MaxOpenings = 3; ///< of one connection that servers close
+
+struct options {
+  sockaddr_in Address{};
+  form Form;
+  int Connections = 0;
+  std::chrono::seconds Time{};
+};
+
+struct connection {
+  int Fd = -1;
+  std::size_t Sent = 0;
+  int Openings = 0;
+};
+
+class crowd {
+public:
+  explicit crowd(options Given)
+      : Options(std::move(Given)), Epoll(epoll_create1(0)),
+        Connections(static_cast<std::size_t>(Options.Connections)) {}
+
+  void run();
+
+private:
+  void open(std::size_t Index);
+  void send(std::size_t Index);
+  void wait();
+  bool isSending() const;
+
+  options Options;
+  int Epoll;
+  std::vector<connection> Connections;
+  boot_time SentAt = bootNow();
+};
+
+void crowd::open(std::size_t Index) {
+  connection &Connection = Connections[Index];
+  if (Connection.Fd >= 0) {
+    close(Connection.Fd);
+  }
+  Connection.Fd = -1;
+  Connection.Sent = 0;
+  if (Connection.Openings == MaxOpenings) {
+    return;
+  }
+  ++Connection.Openings;
+  Connection.Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  connect(Connection.Fd, reinterpret_cast<const sockaddr *>(&Options.Address),
+          sizeof(Options.Address));
+  epoll_event Event{};
+  Event.events = EPOLLOUT;
+  Event.data.u64 = Index;
+  epoll_ctl(Epoll, EPOLL_CTL_ADD, Connection.Fd, &Event);
+}
+
+void crowd::send(std::size_t Index) {
+  connection &Connection = Connections[Index];
+  const std::string Bytes = Options.Form.piece(Connection.Sent);
+  const ssize_t Count =
+      ::send(Connection.Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  if (Count > 0) {
+    Connection.Sent += static_cast<std::size_t>(Count);
+    SentAt = bootNow();
+  }
+  if (Connection.Sent == Options.Form.size()) {
+    epoll_event Event{}; // only its end is of interest now
+    Event.data.u64 = Index;
+    epoll_ctl(Epoll, EPOLL_CTL_MOD, Connection.Fd, &Event);
+  }
+}
+
+void crowd::wait() {
+  std::array<epoll_event, 64> Events{};
+  const int Count = epoll_wait(Epoll, Events.data(), Events.size(),
+                               static_cast<int>(WaitStep.count()));
+  for (int Index = 0; Index < Count; ++Index) {
+    const epoll_event &Event = Events.at(static_cast<std::size_t>(Index));
+    if ((Event.events & (EPOLLERR | EPOLLHUP)) != 0) {
+      open(Event.data.u64);
+    } else {
+      send(Event.data.u64);
+    }
+  }
+}
+
+bool crowd::isSending() const {
+  const bool HasUnsent = std::any_of(
+      Connections.begin(), Connections.end(), [&](const connection &Each) {
+        return Each.Fd >= 0 && Each.Sent < Options.Form.size();
+      });
+  return HasUnsent && bootNow() - SentAt < MaxSilence;
+}
+
+void crowd::run() {
+  const boot_time EndsAt = bootNow() + Options.Time;
+  for (std::size_t Index = 0; Index < Connections.size(); ++Index) {
+    open(Index);
+  }
+  while (isSending() && bootNow() < EndsAt) {
+    wait();
+  }
+  std::cout << "held" << std::endl;
+  while (bootNow() < EndsAt) {
+    wait();
+  }
+}
+
+std::optional<options> parseOptions(int Count, char **Values) {
+  TCLAP::CmdLine Line("Crowd of clients that stop short of their ends.", ' ',
+                      "test");
+  TCLAP::ValueArg<std::string> Address("", "address", "IP and port", true, "",
+                                       "address", Line);
+  TCLAP::ValueArg<std::string> Form("", "form", "what is sent", true, "",
+                                    "name", Line);
+  TCLAP::ValueArg<std::string> Path("", "path", "of a job", true, "", "path",
+                                    Line);
+  TCLAP::ValueArg<std::string> Host("", "host", "header", false, "desk.example",
+                                    "name", Line);
+  TCLAP::ValueArg<int> Connections("", "connections", "at once", true, 0,
+                                   "number", Line);
+  TCLAP::ValueArg<int> Time("", "seconds", "until all are closed", false, 60,
+                            "number", Line);
+  Line.parse(Count, Values);
+  const auto Parsed = parseAddress(Address.getValue());
+  auto Found = findForm(Form.getValue(), Path.getValue(), Host.getValue());
+  if (!Parsed || !Found) {
+    return std::nullopt;
+  }
+  return options{*Parsed, std::move(*Found), Connections.getValue(),
+                 std::chrono::seconds(Time.getValue())};
+}
+} // namespace
+
+} // namespace tarragonbridge::crowd
+
+int main(int Count, char **Values) {
+  using namespace tarragonbridge::crowd; // NOLINT: the program's own
+  auto Options = parseOptions(Count, Values);
+  if (!Options) {
+    std::cerr << "no such address or form\n";
+    return 2;
+  }
+  crowd(std::move(*Options)).run();
+  return 0;
+}
