--- a/src/base/memory.cpp
+++ b/src/base/memory.cpp
@@ -5,9 +5,9 @@
 namespace tarragonbridge {
 
 namespace {
-// These are the allocator's first values, which it raises by itself unless they
-// are set; blocks of many connections would then stay in a scattered heap.
-constexpr int LargeBlockBytes = 128 << 10;
+// Set, as the allocator would raise its thresholds by itself, and blocks of
+// many connections would stay in a scattered heap.
+constexpr int LargeBlockBytes = 64 << 10;
 } // namespace
 
 void returnFreedMemory() {
--- a/tools/docs/settings_page.cpp
+++ b/tools/docs/settings_page.cpp
@@ -29,5 +29,22 @@
          "those below that name none. |\n"
          "| `why` | text | up to "
       << config::MaxSettingsNoteBytes
-      << " bytes | none | Why the edit is made; kept in the history. |\n";
+      << " bytes | none | Why the edit is made; kept in the history. |\n\n"
+         "## Limits of a process\n\n"
+         "They stand in the process's own file, not in the store, and are "
+         "checked at its start;\n[LIMITS.md](LIMITS.md) tells what is derived "
+         "from them.\n\n"
+         "| process | key | unit | least | default | meaning |\n"
+         "|---|---|---|---|---|---|\n"
+         "| `tarragonbridged` | `memory_mb` | MiB | "
+      << config::MinMemoryMb << " | " << config::DefaultMemoryMb
+      << " | Memory that the process may use. |\n"
+         "| `tarragonbridged` | `file_descriptors` | descriptors | "
+      << config::MinFileDescriptors
+      << " | the process's own limit | Descriptors that it may open. |\n"
+         "| `tarragonbridge-pool` | `limits.memoryMb` | MiB | 20 | 120 | "
+         "Memory that the process may use; given by the platform. |\n"
+         "| `tarragonbridge-pool` | `limits.fileDescriptors` | descriptors | "
+         "300 | 3000 | Descriptors that it may open; given by the platform. "
+         "|\n";
 }
