--- a/src/base/memory.cpp
+++ b/src/base/memory.cpp
@@ -4,16 +4,12 @@
 
 namespace tarragonbridge {
 
-namespace {
-// Set, as the allocator would raise its thresholds by itself, and blocks of
-// many connections would stay in a scattered heap.
-constexpr int LargeBlockBytes = 64 << 10;
-} // namespace
-
 void returnFreedMemory() {
 #ifdef __GLIBC__
-  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
-  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+  // Set, as the allocator would raise its thresholds by itself, and blocks of
+  // many connections would stay in a scattered heap.
+  mallopt(M_MMAP_THRESHOLD, static_cast<int>(LargeBlockBytes));
+  mallopt(M_TRIM_THRESHOLD, static_cast<int>(LargeBlockBytes));
 #endif
 }
 
--- a/src/base/memory.h
+++ b/src/base/memory.h
@@ -1,10 +1,14 @@
 /// Memory of the process.
 #pragma once
 
+#include <cstddef>
+
 namespace tarragonbridge {
 
-/// Makes the allocator give large blocks back when they are freed. Called once,
-/// at the start of the process.
+/// Blocks of at least this size are given back when they are freed.
+constexpr std::size_t LargeBlockBytes = 64U << 10U;
+
+/// Makes the allocator do so. Called once, at the start of the process.
 void returnFreedMemory();
 
 } // namespace tarragonbridge
--- a/src/net/connection_guard.cpp
+++ b/src/net/connection_guard.cpp
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/memory.h"
 
+#include <algorithm>
 #include <charconv>
 #include <sys/socket.h>
 
@@ -152,6 +154,15 @@
   return Bytes;
 }
 
+void appendToBody(std::string &Body, std::string_view Part) {
+  constexpr std::size_t SmallBodyBytes = 8U << 10U;
+  const std::size_t Bytes = Body.size() + Part.size();
+  if (Bytes > SmallBodyBytes && Bytes > Body.capacity()) {
+    Body.reserve(std::max(Bytes, LargeBlockBytes));
+  }
+  Body.append(Part);
+}
+
 void limitSocketBuffers(MHD_Daemon *Daemon) {
   const auto *Info = MHD_get_daemon_info(Daemon, MHD_DAEMON_INFO_LISTEN_FD);
   if (Info == nullptr || Info->listen_fd == MHD_INVALID_SOCKET) {
--- a/src/net/connection_guard.h
+++ b/src/net/connection_guard.h
@@ -60,6 +60,10 @@
 /// @returns the length of the body that a request announces, 0 if it doesn't
 std::size_t announcedBodyBytes(MHD_Connection *Connection);
 
+/// Adds a part to a body. Past a small size, its memory is one that is given
+/// back when it is freed, see base/memory.h.
+void appendToBody(std::string &Body, std::string_view Part);
+
 /// Bounds what the kernel buffers for each connection of a listener.
 void limitSocketBuffers(MHD_Daemon *Daemon);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -167,10 +167,6 @@
   Exchange->Request.Method = Method;
   Exchange->Request.Path = Path;
   Exchange->Request.Peer = peerOf(Connection);
-  MHD_get_connection_values(Connection, MHD_HEADER_KIND, collectHeader,
-                            &Exchange->Request.Headers);
-  MHD_get_connection_values(Connection, MHD_GET_ARGUMENT_KIND, collectQuery,
-                            &Exchange->Request.Query);
   if (announcedBodyBytes(Connection) > Init.MaxBodyBytes) {
     refuseTooLarge(*Exchange);
   }
@@ -197,7 +193,7 @@
     Exchange.DroppedBytes += Part.size();
     return Exchange.DroppedBytes <= MaxDroppedBytes;
   }
-  Body += Part;
+  appendToBody(Body, Part);
   Init.Guard->setUnfinished(Exchange.Guarded, Body.capacity(), bootNow());
   return true;
 }
@@ -215,6 +211,10 @@
   }
   const request_handle Handle = Exchange.Handle;
   http_request Request = std::move(Exchange.Request);
+  MHD_get_connection_values(Exchange.Connection, MHD_HEADER_KIND, collectHeader,
+                            &Request.Headers);
+  MHD_get_connection_values(Exchange.Connection, MHD_GET_ARGUMENT_KIND,
+                            collectQuery, &Request.Query);
   {
     // Suspended before the handler has the handle, so that no response precedes
     // the suspension.
--- a/src/poolhost/async_http_server.cpp
+++ b/src/poolhost/async_http_server.cpp
@@ -147,7 +147,7 @@
     Exchange.DroppedBytes += Part.size();
     return Exchange.DroppedBytes <= MaxDroppedBytes;
   }
-  Body.append(Part);
+  appendToBody(Body, Part);
   Init.Guard->setUnfinished(Exchange.Guarded, Body.capacity(), RunAt);
   return true;
 }
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -68,6 +68,33 @@
   CHECK(Decoded.ShutdownTime == std::chrono::seconds(6));
 }
 
+TEST_CASE("limits of the process in its settings", "[pool]") {
+  struct limit_case {
+    std::string Lines;
+    std::size_t Megabytes;
+    std::size_t Descriptors;
+    std::string ErrorMessage; ///< empty: the settings are valid
+  };
+  const auto Case = GENERATE(values<limit_case>({
+      {"", 120, 3'000, ""},
+      {"limits.memoryMb=0\n", 120, 3'000, ""},
+      {"limits.memoryMb=260\nlimits.fileDescriptors=4100\n", 260, 4'100, ""},
+      {"limits.memoryMb=19\n", 0, 0, "limits.memoryMb"},
+      {"limits.memoryMb=99999999999999999999\n", 0, 0, "limits.memoryMb"},
+      {"limits.fileDescriptors=many\n", 0, 0, "limits.fileDescriptors"},
+  }));
+  CAPTURE(Case.Lines);
+  const std::string Text = Settings + Case.Lines;
+  if (!Case.ErrorMessage.empty()) {
+    CHECK_THAT(errorMessageOf([&] { return parseSettings(Text); }),
+               Catch::Contains(Case.ErrorMessage));
+    return;
+  }
+  const process_settings Decoded = valueOf([&] { return parseSettings(Text); });
+  CHECK(Decoded.MemoryBytes == Case.Megabytes << 20U);
+  CHECK(Decoded.FileDescriptors == Case.Descriptors);
+}
+
 TEST_CASE("one error lists all faults of the settings", "[pool]") {
   const std::string ErrorMessage =
       errorMessageOf([] { return parseSettings("bounds.graceS=soon\n"); });
--- a/tools/crowd/main.cpp
+++ b/tools/crowd/main.cpp
@@ -66,8 +66,9 @@
   }
   ++Connection.Openings;
   Connection.Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  connect(Connection.Fd, reinterpret_cast<const sockaddr *>(&Options.Address),
-          sizeof(Options.Address));
+  (void)connect(Connection.Fd,
+                reinterpret_cast<const sockaddr *>(&Options.Address),
+                sizeof(Options.Address));
   epoll_event Event{};
   Event.events = EPOLLOUT;
   Event.data.u64 = Index;
