Crowds: review findings

Cause, by reading: a body of 1,001 steps and a number ended the process; whole bodies stayed allocated and uncounted while their jobs waited; an id was bounded by the headers only; a resubmission of a running job could get 429; callers that drip kept new ones out; a crowd of callers took the connections of readiness, control and peers; ready responses were cut although they were being read. Change: the steps of such a job aren't read, bodies are given back once decoded, ids have 64 bytes, the reducer refuses for memory after it has looked for the job, connections past a second go before young ones, the other listeners have a budget of their own, only unread responses are cut, a single body or job always finds room, uploads at a pool host are closed without a response. Tests: rows in the unit tables; crowds have an id for each job; new forms padded_jobs and drip; memory is checked again after the ordinary request.

--- a/include/tarragonbridge/pool/events.h
+++ b/include/tarragonbridge/pool/events.h
@@ -47,6 +47,7 @@
   std::string Path;
   milliseconds TimeLimit{}; ///< zero: none given
   job_submission Job;
+  bool HasRoom = true; ///< in the memory of this host
 };
 /// A request about a job or a route that submits nothing.
 struct job_queried {
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -68,7 +68,8 @@
   RefusedOverloaded,
   RefusedShuttingDown,
   RefusedDuplicate,
-  RefusedSuspect, ///< targets are silent since they started a task of the job
+  RefusedNoMemory, ///< this host holds too many bytes of jobs
+  RefusedSuspect,  ///< targets are silent since they started a task of the job
   GivenUpLate,
   GivenUpAttempts,
   GivenUpCrashes, ///< targets crashed under a task of the job
--- a/src/base/upload_budget.cpp
+++ b/src/base/upload_budget.cpp
@@ -6,14 +6,20 @@
 namespace tarragonbridge {
 
 namespace {
-/// Memory of a connection in the library and in the socket's receive buffer.
-constexpr std::size_t ConnectionBytes = 28U << 10U;
+/// Memory of a connection in the library and in the socket's receive buffer, of
+/// which the kernel takes twice what is asked for.
+constexpr std::size_t ConnectionBytes = 40U << 10U;
 /// Part of a body, and of a job, that finds room on every connection.
 constexpr std::size_t SmallBytes = 8U << 10U;
 constexpr std::size_t ConnectionMemoryDivisor = 2; ///< of the memory
 constexpr std::size_t BodyMemoryDivisor = 16;
 constexpr std::size_t HeldMemoryDivisor = 8;
+constexpr std::size_t FileDescriptors = 200; ///< aren't for sockets
 constexpr std::size_t DescriptorDivisor = 2; ///< the rest is for other sockets
+/// Part of the limits of callers that other listeners have beside them.
+constexpr std::size_t InternalDivisor = 8;
+constexpr std::size_t MinInternalConnections = 16;
+constexpr std::size_t MinInternalBytes = 512U << 10U;
 
 /// Without progress for this long, an unfinished request goes first.
 constexpr milliseconds StallTime{1'000};
@@ -24,11 +30,13 @@
 constexpr milliseconds OverdueScanInterval{500};
 /// Room made at a time, as a part of a limit, so that scans are rare.
 constexpr std::size_t RoomDivisor = 8;
+constexpr std::size_t ConnectionRoomDivisor = 16;
 
 // Those of the first rank go first.
 constexpr int RankStalled = 0; ///< the longest without progress first
 constexpr int RankIdle = 1;    ///< between requests, the longest first
-constexpr int RankNewest = 2;  ///< those that came last first
+constexpr int RankSlow = 2;    ///< began a while ago, the longest ago first
+constexpr int RankNewest = 3;  ///< those that came last first
 
 std::size_t excess(std::size_t Bytes) {
   return Bytes > SmallBytes ? Bytes - SmallBytes : 0;
@@ -54,14 +62,24 @@
   }
 };
 
-upload_limits makeUploadLimits(std::size_t MemoryBytes,
-                               std::size_t Descriptors) {
-  upload_limits Limits;
-  Limits.MaxConnections = std::min(Descriptors / DescriptorDivisor,
-                                   MemoryBytes / ConnectionMemoryDivisor /
-                                       (ConnectionBytes + SmallBytes));
-  Limits.MaxUnfinishedBytes = MemoryBytes / BodyMemoryDivisor;
-  Limits.MaxHeldBytes = MemoryBytes / HeldMemoryDivisor;
+process_upload_limits makeUploadLimits(std::size_t MemoryBytes,
+                                       std::size_t Descriptors) {
+  const std::size_t Sockets =
+      Descriptors > FileDescriptors ? Descriptors - FileDescriptors : 0;
+  process_upload_limits Limits;
+  upload_limits &Callers = Limits.Callers;
+  Callers.MaxConnections = std::min(Sockets / DescriptorDivisor,
+                                    MemoryBytes / ConnectionMemoryDivisor /
+                                        (ConnectionBytes + SmallBytes));
+  Callers.MaxUnfinishedBytes = MemoryBytes / BodyMemoryDivisor;
+  Callers.MaxHeldBytes = MemoryBytes / HeldMemoryDivisor;
+  upload_limits &Internal = Limits.Internal;
+  Internal.MaxConnections = std::max(Callers.MaxConnections / InternalDivisor,
+                                     MinInternalConnections);
+  Internal.MaxUnfinishedBytes =
+      std::max(Callers.MaxUnfinishedBytes / InternalDivisor, MinInternalBytes);
+  Internal.MaxHeldBytes =
+      std::max(Callers.MaxHeldBytes / InternalDivisor, MinInternalBytes);
   return Limits;
 }
 
@@ -79,8 +97,6 @@
     return "unread";
   case eviction_reason::TooLarge:
     return "too_large";
-  case eviction_reason::JobsHeld:
-    return "jobs_held";
   case eviction_reason::Count:
     break;
   }
@@ -142,10 +158,10 @@
   if (Found == nullptr) {
     return false;
   }
-  const bool HasRoom =
-      excess(Bytes) == 0 || HeldExcess + excess(Bytes) <= Limits.MaxHeldBytes;
+  const bool HasRoom = excess(Bytes) == 0 || HeldExcess == 0 ||
+                       HeldExcess + excess(Bytes) <= Limits.MaxHeldBytes;
   if (!HasRoom) {
-    ++Figures.Evictions.at(static_cast<std::size_t>(eviction_reason::JobsHeld));
+    ++Figures.HoldsRefused;
     return false;
   }
   setBytes(*Found, Found->Unfinished, Bytes);
@@ -247,6 +263,21 @@
   return {Where, RankNewest, -Connection.StartedAt.time_since_epoch()};
 }
 
+upload_budget::candidate upload_budget::rankByAge(connections::iterator Where,
+                                                  boot_time Now) {
+  const connection &Connection = Where->second;
+  candidate Candidate = rankByProgress(Where, Now);
+  if (Candidate.Rank == RankStalled && Connection.Phase == phase::Waiting &&
+      Connection.HasServed) {
+    Candidate.Rank = RankIdle;
+  } else if (Candidate.Rank == RankNewest &&
+             isStalled(Connection.StartedAt, Now)) {
+    Candidate.Rank = RankSlow;
+    Candidate.Order = Connection.StartedAt.time_since_epoch();
+  }
+  return Candidate;
+}
+
 void upload_budget::evictUnfinished(boot_time Now,
                                     std::vector<eviction> &Evictions) {
   std::vector<candidate> Candidates;
@@ -255,6 +286,9 @@
       Candidates.push_back(rankByProgress(Each, Now));
     }
   }
+  if (Candidates.size() == 1) {
+    return; // a single body is served whatever the limit
+  }
   std::sort(Candidates.begin(), Candidates.end());
   for (const candidate &Candidate : Candidates) {
     if (UnfinishedExcess <= afterMakingRoom(Limits.MaxUnfinishedBytes)) {
@@ -272,7 +306,8 @@
   std::vector<candidate> Candidates;
   for (auto Each = Connections.begin(); Each != Connections.end(); ++Each) {
     const connection &Connection = Each->second;
-    if (Connection.Phase == phase::Answering && excess(Connection.Held) != 0) {
+    if (Connection.Phase == phase::Answering && excess(Connection.Held) != 0 &&
+        isStalled(Connection.ProgressAt, Now)) {
       Candidates.push_back(rankByProgress(Each, Now));
     }
   }
@@ -294,16 +329,14 @@
         Connection.Phase == phase::Leaving) {
       continue;
     }
-    candidate Candidate = rankByProgress(Each, Now);
-    if (Candidate.Rank == RankStalled && Connection.Phase == phase::Waiting &&
-        Connection.HasServed) {
-      Candidate.Rank = RankIdle;
-    }
-    Candidates.push_back(Candidate);
+    Candidates.push_back(rankByAge(Each, Now));
   }
   std::sort(Candidates.begin(), Candidates.end());
+  const std::size_t Room = Limits.MaxConnections / ConnectionRoomDivisor;
   for (const candidate &Candidate : Candidates) {
-    if (Connections.size() - Leaving <= Limits.MaxConnections) {
+    const std::size_t Most =
+        Limits.MaxConnections - (Candidate.Rank <= RankIdle ? Room : 0);
+    if (Connections.size() - Leaving <= Most) {
       return;
     }
     leave(Candidate, eviction_reason::Connections, Evictions);
--- a/src/base/upload_budget.h
+++ b/src/base/upload_budget.h
@@ -1,8 +1,8 @@
 /// Decides which connections of a process have to go when their requests and
 /// responses hold too much memory, or when there are too many of them.
 ///
-/// All listeners of a process share one budget. It opens no sockets and reads
-/// no clock; see docs/design/crowds.md.
+/// The listeners for callers share one budget, the other listeners another. It
+/// opens no sockets and reads no clock; see docs/design/crowds.md.
 #pragma once
 
 #include "tarragonbridge/time.h"
@@ -29,12 +29,20 @@
   milliseconds MaxUploadTime{30'000};
 };
 
+/// What the listeners of a process may hold.
+struct process_upload_limits {
+  upload_limits Callers;
+  /// Of the listeners for readiness, control and peers: a crowd of callers
+  /// takes none of it.
+  upload_limits Internal;
+};
+
 /// Derives the limits of a process from those of its host.
 ///
 /// @param[in] MemoryBytes that the process may use
 /// @param[in] Descriptors that the process may open
-upload_limits makeUploadLimits(std::size_t MemoryBytes,
-                               std::size_t Descriptors);
+process_upload_limits makeUploadLimits(std::size_t MemoryBytes,
+                                       std::size_t Descriptors);
 
 /// Why a connection was closed or a request refused.
 enum class eviction_reason : std::uint8_t {
@@ -44,7 +52,6 @@
   Connections, ///< too many connections were open
   Unread,      ///< its response wasn't read, others needed room
   TooLarge,    ///< its body is larger than allowed
-  JobsHeld,    ///< too many bytes of jobs were held
   Count
 };
 std::string_view nameOf(eviction_reason Reason);
@@ -59,6 +66,7 @@
   std::size_t Connections = 0;
   std::size_t UnfinishedBytes = 0; ///< of all unfinished bodies
   std::size_t HeldBytes = 0;       ///< of jobs and responses
+  std::uint64_t HoldsRefused = 0;  ///< jobs for which there was no room
   std::array<std::uint64_t, static_cast<std::size_t>(eviction_reason::Count)>
       Evictions{};
 };
@@ -86,7 +94,8 @@
   bool complete(connection_handle Connection);
   /// Holds bytes of a job until its response.
   ///
-  /// @returns false if there is no room; nothing is held then
+  /// @returns false if there is no room, as other jobs are held; nothing is
+  /// held then
   bool hold(connection_handle Connection, std::size_t Bytes);
   /// A response of some bytes is being sent; the job is held no longer.
   void answer(connection_handle Connection, std::size_t Bytes, boot_time Now);
@@ -118,6 +127,7 @@
   using connections = std::unordered_map<std::uint64_t, connection>;
 
   static candidate rankByProgress(connections::iterator Where, boot_time Now);
+  static candidate rankByAge(connections::iterator Where, boot_time Now);
   connection *find(connection_handle Connection);
   void setBytes(connection &Connection, std::size_t Unfinished,
                 std::size_t Held);
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -1,5 +1,6 @@
 #include "core/json_reader.h"
 
+#include "core/json_separators.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -19,28 +20,11 @@
   Builder["stackLimit"] = static_cast<Json::Int>(config::MaxJsonDepth);
   return Builder;
 }
-
-/// Counts the separators outside of strings, as values are decoded to many
-/// times the size of their text.
-bool hasTooManyValues(std::string_view Text) {
-  if (Text.size() <= config::MaxJsonValues) {
-    return false;
-  }
-  std::size_t Values = 0;
-  bool IsInString = false;
-  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
-    const char C = Text[Index];
-    Index += IsInString && C == '\\' ? 1 : 0;
-    IsInString = IsInString != (C == '"');
-    Values += !IsInString && C == ',' ? 1 : 0;
-  }
-  return Values > config::MaxJsonValues;
-}
 } // namespace
 
 json_document::json_document(std::string_view Text, json_comments Comments)
     : Text(Text) {
-  if (hasTooManyValues(Text)) {
+  if (hasMoreSeparators(Text, config::MaxJsonValues)) {
     Faults.emplace_back("too many values");
     return;
   }
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -83,6 +83,16 @@
                                              Ctx.State.IsShuttingDown});
 }
 
+/// Refuses a new job for which this host has no memory.
+void refuseForMemory(reducer_context &Ctx, request_handle Request,
+                     const std::string &Id) {
+  Ctx.count(counter::RefusedNoMemory);
+  Ctx.log("job_refused", {{"job", Id}, {"reason", "no_memory"}});
+  Ctx.Effects.emplace_back(respond_to_caller{Request, response_kind::Overloaded,
+                                             config::MinRetryAfter, 0,
+                                             Ctx.State.IsShuttingDown});
+}
+
 bool refusesNewWork(const pool_state &State, boot_time Now) {
   return State.IsShuttingDown &&
          Now >= State.ShutdownStartedAt + config::ReadinessGracePeriod;
@@ -199,7 +209,7 @@
   }
   std::string Id = Submitted.Path.substr(Route->PathPrefix.size());
   const std::size_t Tasks = countTasks(Submitted.Job);
-  if (Id.empty() || Tasks == 0) {
+  if (Id.empty() || Id.size() > config::MaxJobIdBytes || Tasks == 0) {
     refuseCaller(Ctx, Request, response_kind::Malformed,
                  counter::RefusedUnsupported);
     return;
@@ -223,6 +233,10 @@
         respond_to_caller{Request, *Ended->second.FinalResponse});
     return;
   }
+  if (!Submitted.HasRoom) {
+    refuseForMemory(Ctx, Request, Id);
+    return;
+  }
   for (const job_step &JobStep : Submitted.Job.Steps) {
     Coordinator.RunTimeEstimator.addSample(Route->Name,
                                            JobStep.EstimatedRunTime);
@@ -273,7 +287,9 @@
                       }));
   } else {
     const std::string Id = Query.Path.substr(Route->PathPrefix.size());
-    if (Query.IsCancel) {
+    if (Id.size() > config::MaxJobIdBytes) {
+      Response.Kind = response_kind::UnknownJob; // no job has such an id
+    } else if (Query.IsCancel) {
       Response.Kind = cancelEverywhere(Ctx, Id);
     } else if (State.Coordinator.Jobs.contains(Id)) {
       Response.Kind = response_kind::Running;
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -22,10 +22,12 @@
   return Highest;
 }
 
-/// Evicts the records of jobs whose latest end is older than EndedRetention.
+/// Evicts the records of jobs whose latest end is older than EndedRetention,
+/// and the oldest of too many.
 void evictEndedJobs(coordinator_state &Coordinator, boot_time Now) {
   auto &Order = Coordinator.EndedJobOrder;
-  while (!Order.empty() && Order.front().first + EndedRetention < Now) {
+  while (!Order.empty() && (Order.front().first + EndedRetention < Now ||
+                            Order.size() > config::MaxEndedJobs)) {
     const auto &[EndedAt, Id] = Order.front();
     const auto Record = Coordinator.EndedJobs.find(Id);
     if (Record != Coordinator.EndedJobs.end() &&
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -327,6 +327,7 @@
                "refused_overloaded",
                "refused_shutting_down",
                "refused_duplicate",
+               "refused_no_memory",
                "refused_suspect",
                "given_up_late",
                "given_up_attempts",
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -87,7 +87,8 @@
 }
 
 std::string formatMetrics(const dispatcher_figures &Figures,
-                          const upload_figures &Uploads) {
+                          const upload_figures &Callers,
+                          const upload_figures &Peers) {
   std::ostringstream Text;
   const auto Write = [&](std::string_view Name, std::string_view Type,
                          auto Value) {
@@ -104,9 +105,11 @@
   Write("jobs_kept", "gauge", Figures.JobsKept);
   Write("targets", "gauge", Figures.Targets);
   Write("settings_revision", "gauge", Figures.SettingsRevision);
-  addMetrics(Uploads, [&](std::string_view Name, auto Value) {
+  const auto Add = [&](std::string_view Name, auto Value) {
     Write(Name, Name.ends_with("_total") ? "counter" : "gauge", Value);
-  });
+  };
+  addMetrics(Callers, "caller", Add);
+  addMetrics(Peers, "peer", Add);
   Text << "# TYPE tarragonbridge_reasons_total counter\n";
   constexpr std::array<std::string_view, 4> Kinds{"refusal", "failure", "retry",
                                                   "ignored"};
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -20,6 +20,7 @@
 
 /// @returns the text of /metrics
 std::string formatMetrics(const dispatcher_figures &Figures,
-                          const upload_figures &Uploads);
+                          const upload_figures &Callers,
+                          const upload_figures &Peers);
 
 } // namespace tarragonbridge
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -46,11 +46,12 @@
   return std::min({Wanted, Allowed, MaxDescriptors});
 }
 
-std::shared_ptr<connection_guard> makeGuard(const daemon_config &Config) {
-  upload_limits Limits = makeUploadLimits(std::size_t{Config.MemoryMb} << 20U,
-                                          descriptorsOf(Config));
-  Limits.MaxUploadTime = config::MaxUploadTime;
-  return makeServerGuard(Limits);
+process_upload_limits limitsOf(const daemon_config &Config) {
+  process_upload_limits Limits = makeUploadLimits(
+      std::size_t{Config.MemoryMb} << 20U, descriptorsOf(Config));
+  Limits.Callers.MaxUploadTime = config::MaxUploadTime;
+  Limits.Internal.MaxUploadTime = config::MaxUploadTime;
+  return Limits;
 }
 
 http_server_init makeServerInit(const daemon_config &Config,
@@ -63,13 +64,15 @@
 } // namespace
 
 daemon::daemon(const daemon_config &Config)
-    : Init(makeInit(Config)), Guard(makeGuard(Config)),
-      Server(makeServerInit(Config, Guard)),
+    : Init(makeInit(Config)),
+      CallerGuard(makeServerGuard(limitsOf(Config).Callers)),
+      PeerGuard(makeServerGuard(limitsOf(Config).Internal)),
+      Server(makeServerInit(Config, CallerGuard)),
       Loop(makeDispatcher(Init),
            [this](effect &&Effect) { carryOut(std::move(Effect)); }),
       Targets(TargetClient,
               [this](event &&Event) { Loop.post(std::move(Event)); }),
-      Peers(Init.Self, Config.PeerListen, Guard,
+      Peers(Init.Self, Config.PeerListen, PeerGuard,
             [this](event &&Event) { Loop.post(std::move(Event)); }) {}
 
 daemon::~daemon() {
@@ -126,7 +129,8 @@
   if (Request.Path == "/metrics") {
     Server.respond(Handle,
                    {200,
-                    formatMetrics(Loop.currentFigures(), Guard->figures()) +
+                    formatMetrics(Loop.currentFigures(), CallerGuard->figures(),
+                                  PeerGuard->figures()) +
                         Times.format(),
                     {},
                     "text/plain"});
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -40,7 +40,8 @@
   bool Finished = false; ///< guarded by Mutex
   std::atomic<bool> ShuttingDown{false};
   time_histograms Times;
-  std::shared_ptr<connection_guard> Guard; ///< of all servers
+  std::shared_ptr<connection_guard> CallerGuard;
+  std::shared_ptr<connection_guard> PeerGuard;
   http_server Server;
   event_loop Loop; ///< outlives the clients, which post to it until they end
   http_client TargetClient;
--- a/src/daemon/peer_calls.h
+++ b/src/daemon/peer_calls.h
@@ -19,7 +19,7 @@
 
   /// @param[in] Self identity of this host
   /// @param[in] Listen IP and port for peers
-  /// @param[in] Guard of all servers of the process
+  /// @param[in] Guard of the listener for peers
   /// @param[in] Sink takes events from any thread
   peer_calls(host_identity Self, const std::string &Listen,
              std::shared_ptr<connection_guard> Guard, event_sink Sink);
--- a/src/net/connection_guard.cpp
+++ b/src/net/connection_guard.cpp
@@ -15,15 +15,15 @@
 constexpr int StatusUnavailable = 503;
 /// So that a listener goes on to accept, and the budget decides who goes.
 constexpr std::size_t SpareConnections = 64;
-constexpr int ReceiveBufferBytes = 16 << 10;
 constexpr int SendBufferBytes = 64 << 10;
 
 std::string formatResponse(int Status, std::string_view Body) {
   return "HTTP/1.1 " + std::to_string(Status) + " " +
          MHD_get_reason_phrase_for(static_cast<unsigned>(Status)) +
-         "\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
-         "Connection: close\r\nContent-Length: " +
-         std::to_string(Body.size()) + "\r\n\r\n" + std::string(Body);
+         "\r\nContent-Type: application/json\r\n" +
+         (Status == StatusUnavailable ? "Retry-After: 1\r\n" : "") +
+         "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + std::string(Body);
 }
 
 void sendNow(int Socket, const std::string &Bytes) {
@@ -32,7 +32,7 @@
 
 /// Ends a connection; libmicrohttpd closes it when it notices.
 void cutOff(int Socket, const eviction &Eviction, std::string_view Body) {
-  if (Eviction.HasRequest) {
+  if (Eviction.HasRequest && !Body.empty()) {
     const int Status = Eviction.Reason == eviction_reason::TooSlow
                            ? StatusRequestTimeout
                            : StatusUnavailable;
@@ -163,14 +163,14 @@
   Body.append(Part);
 }
 
-void limitSocketBuffers(MHD_Daemon *Daemon) {
+void limitSocketBuffers(MHD_Daemon *Daemon, int ReceiveBytes) {
   const auto *Info = MHD_get_daemon_info(Daemon, MHD_DAEMON_INFO_LISTEN_FD);
   if (Info == nullptr || Info->listen_fd == MHD_INVALID_SOCKET) {
     return;
   }
   // Accepted sockets inherit these.
-  setsockopt(Info->listen_fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
-             sizeof(ReceiveBufferBytes));
+  setsockopt(Info->listen_fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
+             sizeof(ReceiveBytes));
   setsockopt(Info->listen_fd, SOL_SOCKET, SO_SNDBUF, &SendBufferBytes,
              sizeof(SendBufferBytes));
 }
--- a/src/net/connection_guard.h
+++ b/src/net/connection_guard.h
@@ -1,6 +1,6 @@
-/// Keeps the connections of all HTTP listeners of a process within one budget:
-/// closes those that upload_budget chooses. Its functions may be called from
-/// any thread.
+/// Keeps the connections of several HTTP listeners of a process within one
+/// budget: closes those that upload_budget chooses. Its functions may be called
+/// from any thread.
 #pragma once
 
 #include "base/upload_budget.h"
@@ -16,7 +16,8 @@
 class connection_guard {
 public:
   /// @param[in] RefusalBody of responses to requests that are cut off; it must
-  /// tell that they weren't run
+  /// tell that they weren't run. Empty: they get none, as the same request may
+  /// have been sent before and run
   connection_guard(const upload_limits &Limits, std::string RefusalBody);
 
   /// @returns the limit of connections to be set for one listener or thread
@@ -65,19 +66,25 @@
 void appendToBody(std::string &Body, std::string_view Part);
 
 /// Bounds what the kernel buffers for each connection of a listener.
-void limitSocketBuffers(MHD_Daemon *Daemon);
+///
+/// @param[in] ReceiveBytes of which the kernel takes twice as many
+void limitSocketBuffers(MHD_Daemon *Daemon, int ReceiveBytes);
 
 /// Writes the guard's metrics.
 ///
+/// @param[in] Listeners that the guard is for, before the name of each metric
 /// @param[in] Add called with the name and the value of each metric
 template <class Function>
-void addMetrics(const upload_figures &Figures, Function Add) {
-  Add("caller_connections", Figures.Connections);
-  Add("unfinished_body_bytes", Figures.UnfinishedBytes);
-  Add("held_bytes", Figures.HeldBytes);
+void addMetrics(const upload_figures &Figures, const std::string &Listeners,
+                Function Add) {
+  Add(Listeners + "_connections", Figures.Connections);
+  Add(Listeners + "_unfinished_body_bytes", Figures.UnfinishedBytes);
+  Add(Listeners + "_held_bytes", Figures.HeldBytes);
+  Add(Listeners + "_holds_refused_total", Figures.HoldsRefused);
   for (std::size_t Index = 0; Index < Figures.Evictions.size(); ++Index) {
     const auto Reason = static_cast<eviction_reason>(Index);
-    Add("connections_cut_" + std::string(nameOf(Reason)) + "_total",
+    Add(Listeners + "_connections_cut_" + std::string(nameOf(Reason)) +
+            "_total",
         Figures.Evictions.at(Index));
   }
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -24,6 +24,7 @@
 constexpr upload_limits OwnLimits{config::MaxCallerConnections, 1U << 30U,
                                   1U << 30U, config::MaxUploadTime};
 constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
+constexpr int ReceiveBufferBytes = 64 << 10; // large bodies within their time
 
 /// A request, from its first byte until its response is sent or its connection
 /// closes.
@@ -176,7 +177,7 @@
 
 void http_server::impl::refuseTooLarge(exchange &Exchange) const {
   Exchange.IsRefused = true;
-  Exchange.Request.Body = {};
+  std::string().swap(Exchange.Request.Body);
   Init.Guard->refuse(Exchange.Guarded, StatusTooLarge,
                      refusalBody("too_large", "the body is too large"),
                      bootNow());
@@ -203,6 +204,8 @@
     return MHD_NO;
   }
   if (!Init.Guard->hold(Exchange.Guarded, Exchange.Request.Body.capacity())) {
+    std::string().swap(Exchange.Request.Body);
+    Init.Guard->answer(Exchange.Guarded, 0, bootNow());
     return queueResponse(
         Exchange.Connection,
         http_response{StatusTooMany,
@@ -238,7 +241,8 @@
   if (Exchange.IsStream) {
     return queueStream(Exchange);
   }
-  Init.Guard->answer(Exchange.Guarded, Exchange.Response->Body.size(),
+  // The library keeps a copy.
+  Init.Guard->answer(Exchange.Guarded, 2 * Exchange.Response->Body.size(),
                      bootNow());
   return queueResponse(Exchange.Connection, *Exchange.Response);
 }
@@ -330,7 +334,7 @@
   if (Impl->Daemon == nullptr) {
     return Fail("can't listen on this address");
   }
-  limitSocketBuffers(Impl->Daemon);
+  limitSocketBuffers(Impl->Daemon, ReceiveBufferBytes);
   return {};
 }
 
--- a/src/poolhost/async_http_server.cpp
+++ b/src/poolhost/async_http_server.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t ConnectionMemoryBytes = 20U << 10U;
 /// Of a refused body, before its connection is closed.
 constexpr std::size_t MaxDroppedBytes = 1U << 20U;
+constexpr int ReceiveBufferBytes = 8 << 10;
 /// Of a server that shares no guard.
 constexpr upload_limits OwnLimits{2'000, 1U << 30U, 1U << 30U};
 
@@ -132,7 +133,7 @@
 
 void async_http_server::impl::refuseTooLarge(exchange &Exchange) {
   Exchange.IsRefused = true;
-  Exchange.Request.Body = {};
+  std::string().swap(Exchange.Request.Body);
   Init.Guard->refuse(Exchange.Guarded, StatusTooLarge, "{}", RunAt);
 }
 
@@ -182,7 +183,8 @@
 void async_http_server::impl::dispatch(exchange &Exchange) {
   Exchange.IsDispatched = true;
   OpenExchanges[static_cast<std::uint64_t>(Exchange.Handle)] = &Exchange;
-  server_request &Request = Exchange.Request;
+  // Its memory is given back once the handler returns.
+  server_request Request = std::move(Exchange.Request);
   Request.HostName = headerOf(Exchange.Connection, MHD_HTTP_HEADER_HOST);
   Request.HostName = Request.HostName.substr(0, Request.HostName.find(':'));
   Request.TimeLimit =
@@ -201,7 +203,9 @@
 MHD_Result async_http_server::impl::sendResponse(exchange &Exchange) {
   OpenExchanges.erase(static_cast<std::uint64_t>(Exchange.Handle));
   Exchange.IsResponseQueued = true;
-  Init.Guard->answer(Exchange.Guarded, Exchange.Response->Body.size(), RunAt);
+  // The library keeps a copy.
+  Init.Guard->answer(Exchange.Guarded, 2 * Exchange.Response->Body.size(),
+                     RunAt);
   return queueResponse(Exchange.Connection, *Exchange.Response);
 }
 
@@ -265,7 +269,7 @@
                     boot_time::max(),
                     {}}) {
   if (!Impl->Init.Guard) {
-    Impl->Init.Guard = std::make_shared<connection_guard>(OwnLimits, "{}");
+    Impl->Init.Guard = std::make_shared<connection_guard>(OwnLimits, "");
   }
 }
 
@@ -322,7 +326,7 @@
                                         reason::Malformed,
                                         "can't listen on the address"});
   }
-  limitSocketBuffers(Impl->Daemon);
+  limitSocketBuffers(Impl->Daemon, ReceiveBufferBytes);
   Impl->Loop.watch(Impl->epollFd(), EPOLLIN,
                    [this](std::uint32_t) { Impl->run(); });
   return {};
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -14,10 +14,12 @@
 namespace {
 namespace config = pool::config;
 
-std::shared_ptr<connection_guard>
-makeGuard(const platform::process_settings &Settings) {
-  return std::make_shared<connection_guard>(
-      makeUploadLimits(Settings.MemoryBytes, Settings.FileDescriptors), "{}");
+process_upload_limits limitsOf(const platform::process_settings &Settings) {
+  return makeUploadLimits(Settings.MemoryBytes, Settings.FileDescriptors);
+}
+
+std::shared_ptr<connection_guard> makeGuard(const upload_limits &Limits) {
+  return std::make_shared<connection_guard>(Limits, "");
 }
 
 /// @returns an estimate of the memory that a job takes while it is open
@@ -82,12 +84,13 @@
             ++InvalidStoreItems;
             logEvent("store_entry_refused", {{"key", Key}, {"reason", Reason}});
           }),
-      Guard(makeGuard(Given)),
-      CallerServer(Loop, serverInit(Given.CallerAddress, Guard)),
-      ReadinessServer(Loop, serverInit(Given.ReadinessAddress, Guard)) {
+      CallerGuard(makeGuard(limitsOf(Given).Callers)),
+      InternalGuard(makeGuard(limitsOf(Given).Internal)),
+      CallerServer(Loop, serverInit(Given.CallerAddress, CallerGuard)),
+      ReadinessServer(Loop, serverInit(Given.ReadinessAddress, InternalGuard)) {
   if (!Given.MetricsAddress.empty()) {
     MetricsServer = std::make_unique<async_http_server>(
-        Loop, serverInit(Given.MetricsAddress, Guard));
+        Loop, serverInit(Given.MetricsAddress, InternalGuard));
   }
 }
 
@@ -205,12 +208,8 @@
     Server.respond(Request, {400, "{}", {}});
     return;
   }
-  if (!Server.hold(Request, heldBytes(Submitted.Job))) {
-    logEvent("body_refused",
-             {{"path", Received.Path}, {"reason", "jobs_held"}});
-    Server.respond(Request, {429, "{}", {{"Retry-After", "1"}}});
-    return;
-  }
+  Submitted.HasRoom =
+      Server.hold(Request, heldBytes(Submitted.Job) + Received.Path.capacity());
   Submitted.HostName = std::move(Received.HostName);
   Submitted.Path = std::move(Received.Path);
   Submitted.TimeLimit = platform::decodeTimeLimit(Received.TimeLimit);
@@ -266,6 +265,7 @@
 
 void program::execute(pool::start_attempt &&Start) {
   platform::http_request HttpRequest = platform::encodeStart(Start);
+  std::string().swap(Start.Specification); // many may wait for their responses
   const std::string Address = Start.Address;
   const bool NewConnection = Start.NewConnection;
   sendToTarget(
@@ -341,7 +341,8 @@
   Add("requests_open", CallerServer.openRequests());
   Add("requests_malformed_total",
       CallerServer.malformedRequests() + MalformedBodies);
-  addMetrics(Guard->figures(), Add);
+  addMetrics(CallerGuard->figures(), "caller", Add);
+  addMetrics(InternalGuard->figures(), "internal", Add);
   Add("datagrams_refused_total", MalformedDatagrams);
   Add("event_loop_stalls_total", Stalls);
   Add("store_entries_refused_total", InvalidStoreItems);
--- a/src/poolhost/program.h
+++ b/src/poolhost/program.h
@@ -55,7 +55,8 @@
   datagram_socket PeerSocket;
   pool::pool_host Host;
   store_watcher StoreWatcher;
-  std::shared_ptr<connection_guard> Guard; ///< of all servers
+  std::shared_ptr<connection_guard> CallerGuard;
+  std::shared_ptr<connection_guard> InternalGuard; ///< of the other servers
   async_http_server CallerServer;
   async_http_server ReadinessServer;
   std::unique_ptr<async_http_server> MetricsServer;
--- a/tests/integration/crowds.sh
+++ b/tests/integration/crowds.sh
@@ -12,7 +12,7 @@
 declare -A offset=([callers]=1 [readiness]=2 [control]=3 [peers]=4)
 
 start_pool() {
-  memory_mb=24 descriptors=400 path=/quote/00000000000000aa
+  memory_mb=24 descriptors=400 path=/quote/0000000000000000
   start "$bin/platform_emulator" --store "$(address 20)" --admin "$(address 21)" --targets "$(address 22)"
   await "http://$(address 21)/report"
   cat >"$work/settings" <<CONF
@@ -64,11 +64,14 @@
 crowd_pid=$!; pids+=($crowd_pid)
 while kill -0 $crowd_pid 2>/dev/null && ! grep -q held "$work/crowd.out"; do sleep 0.1; done
 grep -q held "$work/crowd.out" || fail "the crowd ended early"
-kill -0 "$process_pid" || fail "the process has ended"
-open=$(find "/proc/$process_pid/fd" -mindepth 1 | wc -l)
-peak=$(awk '/^VmHWM/ {print $2}' "/proc/$process_pid/status")
-echo "peak $peak KiB of $((memory_mb * 1024)), $open descriptors of $descriptors"
-[ "$open" -le "$descriptors" ] || fail "$open descriptors are open, over $descriptors"
-[ "$peak" -le $((memory_mb * 1024)) ] || fail "$peak KiB were held, over $memory_mb MiB"
-for _ in $(seq 20); do "ask_$process" && { echo "passed"; exit; }; sleep 0.2; done
+check_process() {
+  kill -0 "$process_pid" || fail "the process has ended"
+  open=$(find "/proc/$process_pid/fd" -mindepth 1 | wc -l)
+  peak=$(awk '/^VmHWM/ {print $2}' "/proc/$process_pid/status")
+  echo "peak $peak KiB of $((memory_mb * 1024)), $open descriptors of $descriptors"
+  [ "$open" -le "$descriptors" ] || fail "$open descriptors are open, over $descriptors"
+  [ "$peak" -le $((memory_mb * 1024)) ] || fail "$peak KiB were held, over $memory_mb MiB"
+}
+check_process
+for _ in $(seq 20); do "ask_$process" && { check_process; echo "passed"; exit; }; sleep 0.2; done
 fail "an ordinary request isn't answered"
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -137,6 +137,16 @@
   }
 }
 
+namespace {
+std::string repeated(std::string_view Text, std::size_t Count) {
+  std::string Repeated;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Repeated += Text;
+  }
+  return Repeated;
+}
+} // namespace
+
 TEST_CASE("invalid jobs are rejected, and unsupported ones recognised",
           "[pool]") {
   struct job_case {
@@ -164,6 +174,15 @@
        false},
       {R"({"specification":"s","bestEffort":true})", "steps", false},
       {R"({"specification":"s","bestEffort":true,"steps":[5]})", "", false},
+      {R"({"specification":"s","bestEffort":true,"steps":[)" +
+           repeated(R"({"count":1},)", 1'001) + "5]}",
+       "", true}, // refused for its number of tasks
+      {R"({"specification":"s","bestEffort":true,"steps":[)" +
+           repeated(R"({"count":1},)", 30'001) + "5]}",
+       "too many values", false},
+      {R"({"specification":")" + std::string(4'000, ',') +
+           R"(","bestEffort":true,"steps":[{"count":1}]})",
+       "", true},
       {"{", "not JSON", false},
       {"", "not JSON", false},
   }));
--- a/tests/unit/upload_budget_test.cpp
+++ b/tests/unit/upload_budget_test.cpp
@@ -17,6 +17,7 @@
   milliseconds At{};
   std::size_t Bytes = 0;
   bool IsComplete = false;
+  milliseconds ProgressAt{}; ///< of the latest part; zero: of the only one
 };
 
 struct evict_case {
@@ -62,6 +63,21 @@
        1'100ms,
        {1},
        reason::Connections},
+      {"of those that go on, one that began a while ago when connections are "
+       "too many",
+       {{0ms, 1, false, 1'900ms},
+        {1ms, 1, false, 1'900ms},
+        {2ms, 1, false, 1'900ms},
+        {3ms, 1, false, 1'900ms},
+        {1'950ms, 1}},
+       2'000ms,
+       {0},
+       reason::Connections},
+      {"a single body stays whatever the limit",
+       {{0ms, 400 * Kib}},
+       5s,
+       {},
+       {}},
       {"a request that takes too long",
        {{0ms, 1}, {1ms, 0, true}},
        30'001ms,
@@ -76,7 +92,8 @@
     const boot_time At = Start + Upload.At;
     Handles.push_back(Budget.open(At));
     Budget.beginRequest(Handles.back(), At);
-    Budget.setUnfinished(Handles.back(), Upload.Bytes, At);
+    Budget.setUnfinished(Handles.back(), Upload.Bytes,
+                         std::max(At, Start + Upload.ProgressAt));
     if (Upload.IsComplete) {
       CHECK(Budget.complete(Handles.back()));
     }
@@ -114,3 +131,34 @@
   Budget.finish(First, boot_time{});
   CHECK(Hold(100 * Kib).second);
 }
+
+TEST_CASE("a response is cut off only if it isn't read") {
+  const milliseconds Unread = GENERATE(500ms, 1'500ms);
+  CAPTURE(Unread.count());
+  upload_budget Budget(Limits);
+  const boot_time Start{1h};
+  for (int Index = 0; Index < 2; ++Index) {
+    const connection_handle Handle = Budget.open(Start);
+    Budget.beginRequest(Handle, Start);
+    CHECK(Budget.complete(Handle));
+    Budget.answer(Handle, 90 * Kib, Start);
+  }
+  CHECK(Budget.evict(Start + Unread).empty() == (Unread < 1s));
+}
+
+TEST_CASE("limits follow the memory and the descriptors of a process") {
+  struct limits_case {
+    std::size_t MemoryMb;
+    std::size_t Descriptors;
+    std::size_t MaxConnections;
+  };
+  const auto Case = GENERATE(values<limits_case>(
+      {{120, 3'075, 1'280}, {512, 8'192, 3'996}, {24, 400, 100}}));
+  CAPTURE(Case.MemoryMb);
+  const std::size_t Memory = Case.MemoryMb << 20U;
+  const process_upload_limits Both = makeUploadLimits(Memory, Case.Descriptors);
+  CHECK(Both.Callers.MaxConnections == Case.MaxConnections);
+  CHECK(Both.Callers.MaxConnections + Both.Internal.MaxConnections <
+        Case.Descriptors);
+  CHECK(Both.Internal.MaxUnfinishedBytes >= 256 * Kib);
+}
--- a/tools/crowd/forms.cpp
+++ b/tools/crowd/forms.cpp
@@ -36,6 +36,20 @@
          R"("estimatedMs":10}]})";
 }
 
+/// A form of one whole request.
+form requestOf(std::string Name, const std::string &Start,
+               const std::string &Body) {
+  return {std::move(Name), lengthHead(Start, Body.size()), Body, 1, ""};
+}
+
+/// A small job in a body as large as it may be.
+std::string paddedJob() {
+  const std::string Job =
+      R"({"specification":"","bestEffort":true,"steps":[{"count":1,"cpu":1,)"
+      R"("memMb":1,"estimatedMs":10}]})";
+  return Job + std::string(LegalBytes - Job.size(), ' ');
+}
+
 std::vector<form> makeForms(const std::string &Path, const std::string &Host) {
   const std::string Line = " HTTP/1.1\r\nHost: " + Host + "\r\n";
   const std::string Post = "POST " + Path + Line;
@@ -62,14 +76,14 @@
        "", 0, ""},
       {"second", "GET " + Path + Line + "\r\n" + lengthHead(Post, LegalBytes),
        "x", LegalBytes - 1, ""},
-      {"wide_json", "",
-       wholeRequest(Post, "[" + repeat("[],", LegalBytes / 3) + "[]]"), 1, ""},
-      {"many_steps", "",
-       wholeRequest(Post, R"({"specification":"","bestEffort":true,"steps":[)" +
-                              repeat(R"({"count":1},)", 20'000) +
-                              R"({"count":1}]})"),
-       1, ""},
-      {"large_jobs", "", wholeRequest(Post, largeJob()), 1, ""},
+      requestOf("wide_json", Post, "[" + repeat("[],", LegalBytes / 3) + "[]]"),
+      requestOf("many_steps", Post,
+                R"({"specification":"","bestEffort":true,"steps":[)" +
+                    repeat(R"({"count":1},)", 20'000) + R"({"count":1}]})"),
+      requestOf("large_jobs", Post, largeJob()),
+      requestOf("padded_jobs", Post, paddedJob()),
+      {"drip", lengthHead(Post, LegalBytes), "x", LegalBytes - 1, "", 1U << 16U,
+       LegalBytes / 2},
   };
 }
 } // namespace
@@ -78,16 +92,28 @@
   return Head.size() + Unit.size() * Units + Tail.size();
 }
 
-std::string form::piece(std::size_t Offset) const {
+std::string form::headOf(std::size_t Connection) const {
+  const std::string Placeholder(16, '0');
+  std::string OwnHead = Head;
+  const std::size_t At = OwnHead.find(Placeholder);
+  if (At != std::string::npos) {
+    const std::string Number = std::to_string(Connection + 1);
+    OwnHead.replace(At + Placeholder.size() - Number.size(), Number.size(),
+                    Number);
+  }
+  return OwnHead;
+}
+
+std::string form::piece(std::size_t Offset, const std::string &OwnHead) const {
   const std::size_t End = std::min(Offset + PieceBytes, size());
-  const std::size_t UnitsEnd = Head.size() + Unit.size() * Units;
+  const std::size_t UnitsEnd = OwnHead.size() + Unit.size() * Units;
   std::string Bytes;
   while (Offset + Bytes.size() < End) {
     const std::size_t At = Offset + Bytes.size();
-    if (At < Head.size()) {
-      Bytes += Head.substr(At);
+    if (At < OwnHead.size()) {
+      Bytes += OwnHead.substr(At);
     } else if (At < UnitsEnd) {
-      Bytes += Unit.substr((At - Head.size()) % Unit.size());
+      Bytes += Unit.substr((At - OwnHead.size()) % Unit.size());
     } else {
       Bytes += Tail.substr(At - UnitsEnd);
     }
--- a/tools/crowd/main.cpp
+++ b/tools/crowd/main.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds MaxSilence{2'000}; ///< then servers take nothing more
 constexpr milliseconds WaitStep{100};
 constexpr int MaxOpenings = 3; ///< of one connection that servers close
+constexpr milliseconds DripInterval{300};
 
 struct options {
   sockaddr_in Address{};
@@ -32,6 +33,7 @@
   int Fd = -1;
   std::size_t Sent = 0;
   int Openings = 0;
+  std::string Head;
 };
 
 class crowd {
@@ -45,8 +47,11 @@
 private:
   void open(std::size_t Index);
   void send(std::size_t Index);
+  /// Sends a byte on each connection.
+  void drip();
   void wait();
   bool isSending() const;
+  std::size_t sizeSentAtOnce() const;
 
   options Options;
   int Epoll;
@@ -77,20 +82,41 @@
 
 void crowd::send(std::size_t Index) {
   connection &Connection = Connections[Index];
-  const std::string Bytes = Options.Form.piece(Connection.Sent);
+  std::string Bytes = Options.Form.piece(Connection.Sent, Connection.Head);
+  if (Options.Form.DripsFrom != 0 && !Bytes.empty()) {
+    const std::size_t Left = Options.Form.DripsFrom -
+                             std::min(Options.Form.DripsFrom, Connection.Sent);
+    Bytes.resize(std::min(Bytes.size(), Left));
+  }
   const ssize_t Count =
       ::send(Connection.Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
   if (Count > 0) {
     Connection.Sent += static_cast<std::size_t>(Count);
     SentAt = bootNow();
   }
-  if (Connection.Sent == Options.Form.size()) {
+  if (Connection.Sent == sizeSentAtOnce()) {
     epoll_event Event{}; // only its end is of interest now
     Event.data.u64 = Index;
     epoll_ctl(Epoll, EPOLL_CTL_MOD, Connection.Fd, &Event);
   }
 }
 
+std::size_t crowd::sizeSentAtOnce() const {
+  const form &Form = Options.Form;
+  return Form.DripsFrom != 0 ? Form.DripsFrom : Form.size();
+}
+
+void crowd::drip() {
+  for (connection &Connection : Connections) {
+    const bool HasMore = Connection.Fd >= 0 &&
+                         Connection.Sent >= Options.Form.DripsFrom &&
+                         Connection.Sent < Options.Form.size();
+    if (HasMore && ::send(Connection.Fd, "x", 1, MSG_NOSIGNAL) == 1) {
+      ++Connection.Sent;
+    }
+  }
+}
+
 void crowd::wait() {
   std::array<epoll_event, 64> Events{};
   const int Count = epoll_wait(Epoll, Events.data(), Events.size(),
@@ -108,7 +134,7 @@
 bool crowd::isSending() const {
   const bool HasUnsent = std::any_of(
       Connections.begin(), Connections.end(), [&](const connection &Each) {
-        return Each.Fd >= 0 && Each.Sent < Options.Form.size();
+        return Each.Fd >= 0 && Each.Sent < sizeSentAtOnce();
       });
   return HasUnsent && bootNow() - SentAt < MaxSilence;
 }
@@ -116,14 +142,20 @@
 void crowd::run() {
   const boot_time EndsAt = bootNow() + Options.Time;
   for (std::size_t Index = 0; Index < Connections.size(); ++Index) {
+    Connections[Index].Head = Options.Form.headOf(Index);
     open(Index);
   }
   while (isSending() && bootNow() < EndsAt) {
     wait();
   }
   std::cout << "held" << std::endl;
+  boot_time DripAt = bootNow();
   while (bootNow() < EndsAt) {
     wait();
+    if (Options.Form.DripsFrom != 0 && bootNow() >= DripAt) {
+      drip();
+      DripAt = bootNow() + DripInterval;
+    }
   }
 }
 
