Count the start commands of a job's tasks as held

Change: a job is charged by tasks and specification; one alone finds room always; requests to targets keep no spare capacity and at most 256 handles of libcurl; refused bodies free their memory at once (an assignment of an empty string didn't). Unit tests of the budget, settings and servers, thin_path, hosts and settings pass.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -13,7 +13,7 @@
 constexpr std::size_t MaxTasksPerJob = 1'000;
 constexpr std::size_t MaxSpecificationBytes = 4'000;
 constexpr std::size_t MaxBodyBytes = 256U << 10U;
-constexpr std::size_t HeldBytesPerTask = 320;         ///< of an open job
+constexpr std::size_t HeldBytesPerTask = 500;         ///< of an open job
 constexpr std::chrono::seconds CallerIdleTimeout{60}; ///< of a connection
 constexpr milliseconds DefaultTimeLimit{30'000}; ///< of a job that names none
 constexpr milliseconds MaxTimeLimit{600'000};    ///< longer ones are cut to it
--- a/src/base/upload_budget.cpp
+++ b/src/base/upload_budget.cpp
@@ -142,8 +142,8 @@
   if (Found == nullptr) {
     return false;
   }
-  const bool HasRoom =
-      excess(Bytes) == 0 || HeldExcess + excess(Bytes) <= Limits.MaxHeldBytes;
+  const bool HasRoom = excess(Bytes) == 0 || HeldExcess == 0 ||
+                       HeldExcess + excess(Bytes) <= Limits.MaxHeldBytes;
   if (!HasRoom) {
     ++Figures.Evictions.at(static_cast<std::size_t>(eviction_reason::JobsHeld));
     return false;
--- a/src/base/upload_budget.h
+++ b/src/base/upload_budget.h
@@ -84,7 +84,7 @@
   ///
   /// @returns false if it came too late: its connection is being closed
   bool complete(connection_handle Connection);
-  /// Holds bytes of a job until its response.
+  /// Holds bytes of a job until its response. One job alone finds room always.
   ///
   /// @returns false if there is no room; nothing is held then
   bool hold(connection_handle Connection, std::size_t Bytes);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -176,7 +176,7 @@
 
 void http_server::impl::refuseTooLarge(exchange &Exchange) const {
   Exchange.IsRefused = true;
-  Exchange.Request.Body = {};
+  std::string().swap(Exchange.Request.Body);
   Init.Guard->refuse(Exchange.Guarded, StatusTooLarge,
                      refusalBody("too_large", "the body is too large"),
                      bootNow());
--- a/src/poolhost/async_http_client.cpp
+++ b/src/poolhost/async_http_client.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 constexpr long MaxIdleConnections = 1'000;
+constexpr std::size_t MaxIdleHandles = 256;  ///< kept for later requests
 constexpr unsigned TcpUserTimeoutMs = 2'000; ///< of unacknowledged data
 constexpr long MaxResponseBytes = 8L << 20U;
 
@@ -216,7 +217,11 @@
   curl_multi_remove_handle(Multi, Easy);
   curl_easy_reset(Easy);
   curl_slist_free_all(State->Headers);
-  IdleHandles.push_back(Easy);
+  if (IdleHandles.size() < MaxIdleHandles) {
+    IdleHandles.push_back(Easy);
+  } else {
+    curl_easy_cleanup(Easy);
+  }
   InFlight.erase(State);
   const completion Done = std::move(State->Done);
   delete State;
--- a/src/poolhost/async_http_server.cpp
+++ b/src/poolhost/async_http_server.cpp
@@ -132,7 +132,7 @@
 
 void async_http_server::impl::refuseTooLarge(exchange &Exchange) {
   Exchange.IsRefused = true;
-  Exchange.Request.Body = {};
+  std::string().swap(Exchange.Request.Body);
   Init.Guard->refuse(Exchange.Guarded, StatusTooLarge, "{}", RunAt);
 }
 
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -20,15 +20,17 @@
       makeUploadLimits(Settings.MemoryBytes, Settings.FileDescriptors), "{}");
 }
 
-/// @returns an estimate of the memory that a job takes while it is open
+/// @returns an estimate of the memory that a job takes while it is open; the
+/// start command of each task repeats the specification
 std::size_t heldBytes(const pool::job_submission &Job) {
   std::size_t Tasks = 0;
   for (const pool::job_step &Step : Job.Steps) {
     Tasks += std::min<std::size_t>(Step.Count, config::MaxTasksPerJob);
   }
-  return Job.Specification.capacity() +
-         Job.Steps.capacity() * sizeof(pool::job_step) +
-         std::min(Tasks, config::MaxTasksPerJob) * config::HeldBytesPerTask;
+  const std::size_t BytesPerTask =
+      config::HeldBytesPerTask + Job.Specification.size();
+  return Job.Steps.capacity() * sizeof(pool::job_step) +
+         std::min(Tasks, config::MaxTasksPerJob) * BytesPerTask;
 }
 
 server_init serverInit(const std::string &Listen,
@@ -254,6 +256,7 @@
   Outgoing.Address = Address;
   Outgoing.Path = std::move(HttpRequest.Path);
   Outgoing.Body = std::move(HttpRequest.Body);
+  Outgoing.Body.shrink_to_fit(); // many may wait for their responses
   Outgoing.Headers = std::move(HttpRequest.Headers);
   Outgoing.Timeout = Timeout;
   Outgoing.NewConnection = NewConnection;
@@ -266,6 +269,7 @@
 
 void program::execute(pool::start_attempt &&Start) {
   platform::http_request HttpRequest = platform::encodeStart(Start);
+  std::string().swap(Start.Specification); // many may wait for their responses
   const std::string Address = Start.Address;
   const bool NewConnection = Start.NewConnection;
   sendToTarget(
--- a/tests/unit/upload_budget_test.cpp
+++ b/tests/unit/upload_budget_test.cpp
@@ -110,7 +110,8 @@
   CHECK(IsFirstHeld);
   CHECK_FALSE(Hold(100 * Kib).second);
   CHECK(Hold(8 * Kib).second);
+  CHECK_FALSE(Hold(900 * Kib).second);
   Budget.answer(First, 0, boot_time{});
   Budget.finish(First, boot_time{});
-  CHECK(Hold(100 * Kib).second);
+  CHECK(Hold(900 * Kib).second); // alone, apart from small ones
 }
