--- a/src/base/upload_budget.h
+++ b/src/base/upload_budget.h
@@ -92,7 +92,7 @@
   ///
   /// @returns false if it came too late: its connection is being closed
   bool complete(connection_handle Connection);
-  /// Holds bytes of a job until its response.
+  /// Holds bytes of a job until its response. One job alone finds room always.
   ///
   /// @returns false if there is no room, as other jobs are held; nothing is
   /// held then
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -22,15 +22,17 @@
   return std::make_shared<connection_guard>(Limits, "");
 }
 
-/// @returns an estimate of the memory that a job takes while it is open
+/// @returns an estimate of the memory that a job takes while it is open; the
+/// start command of each task repeats the specification
 std::size_t heldBytes(const pool::job_submission &Job) {
   std::size_t Tasks = 0;
   for (const pool::job_step &Step : Job.Steps) {
     Tasks += std::min<std::size_t>(Step.Count, config::MaxTasksPerJob);
   }
-  return Job.Specification.capacity() +
-         Job.Steps.capacity() * sizeof(pool::job_step) +
-         std::min(Tasks, config::MaxTasksPerJob) * config::HeldBytesPerTask;
+  const std::size_t BytesPerTask =
+      config::HeldBytesPerTask + Job.Specification.size();
+  return Job.Steps.capacity() * sizeof(pool::job_step) +
+         std::min(Tasks, config::MaxTasksPerJob) * BytesPerTask;
 }
 
 server_init serverInit(const std::string &Listen,
@@ -253,6 +255,7 @@
   Outgoing.Address = Address;
   Outgoing.Path = std::move(HttpRequest.Path);
   Outgoing.Body = std::move(HttpRequest.Body);
+  Outgoing.Body.shrink_to_fit(); // many may wait for their responses
   Outgoing.Headers = std::move(HttpRequest.Headers);
   Outgoing.Timeout = Timeout;
   Outgoing.NewConnection = NewConnection;
