--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -17,7 +17,7 @@
 constexpr std::size_t MaxBodyBytes = 8U << 20U;
 constexpr std::size_t MaxKeyBytes = 128;
 constexpr std::size_t MaxJsonDepth = 64;
-constexpr std::size_t MaxJsonValues = 100'000; ///< of a document
+constexpr std::size_t MaxJsonValues = 500'000; ///< of a document
 constexpr milliseconds DefaultTimeLimit{30'000};
 constexpr milliseconds MaxTimeLimit{600'000};
 constexpr milliseconds DefaultExpectedRunTime{200};
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/log.h"
+#include "core/json_separators.h"
 
 #include <algorithm>
 #include <sys/resource.h>
@@ -14,6 +15,11 @@
 constexpr int StatusUnavailable = 503;
 constexpr milliseconds ShutdownPollInterval{10};
 constexpr std::size_t MaxDescriptors = 16'000;
+/// Larger bodies are decoded one at a time, as they take many times their size.
+constexpr std::size_t LargeBodyBytes = 64U << 10U;
+/// Memory of the process for each value of a body: a fifth of it is taken when
+/// one is decoded.
+constexpr std::size_t MemoryBytesPerValue = 1'024;
 
 http_response toResponse(answer_request &&Answer) {
   http_response Response;
@@ -67,6 +73,8 @@
     : Init(makeInit(Config)),
       CallerGuard(makeServerGuard(limitsOf(Config).Callers)),
       PeerGuard(makeServerGuard(limitsOf(Config).Internal)),
+      MaxSeparators((std::size_t{Config.MemoryMb} << 20U) /
+                    MemoryBytesPerValue),
       Server(makeServerInit(Config, CallerGuard)),
       Loop(makeDispatcher(Init),
            [this](effect &&Effect) { carryOut(std::move(Effect)); }),
@@ -147,6 +155,16 @@
     Operators->onRequest(Handle, std::move(Request));
     return;
   }
+  if (hasMoreSeparators(Request.Body, MaxSeparators)) {
+    Server.respond(Handle,
+                   refusalResponse({"read body", Request.Peer,
+                                    reason::Malformed, "too many values"}));
+    return;
+  }
+  std::unique_lock<std::mutex> ParseLock(ParseMutex, std::defer_lock);
+  if (Request.Body.size() > LargeBodyBytes) {
+    ParseLock.lock();
+  }
   tryOr(
       [&]() -> result<void> {
         BOOST_LEAF_AUTO(Event, parseCallerRequest(Handle, Request));
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -42,6 +42,8 @@
   time_histograms Times;
   std::shared_ptr<connection_guard> CallerGuard;
   std::shared_ptr<connection_guard> PeerGuard;
+  std::size_t MaxSeparators; ///< in the body of a request
+  std::mutex ParseMutex;     ///< held while a large body is decoded
   http_server Server;
   event_loop Loop; ///< outlives the clients, which post to it until they end
   http_client TargetClient;
