--- a/src/base/upload_budget.cpp
+++ b/src/base/upload_budget.cpp
@@ -286,10 +286,10 @@
       Candidates.push_back(rankByProgress(Each, Now));
     }
   }
-  if (Candidates.size() == 1) {
-    return; // a single body is served whatever the limit
-  }
   std::sort(Candidates.begin(), Candidates.end());
+  if (!Candidates.empty()) {
+    Candidates.pop_back(); // a single body is served whatever the limit
+  }
   for (const candidate &Candidate : Candidates) {
     if (UnfinishedExcess <= afterMakingRoom(Limits.MaxUnfinishedBytes)) {
       return;
