--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -71,6 +71,7 @@
   RefusedOverloaded,
   RefusedShuttingDown,
   RefusedDuplicate,
+  RefusedNoMemory,  ///< this host holds too many bytes of jobs
   RefusedSuspect,   ///< targets are silent since they started a task of the job
   RefusedEvacuated, ///< all failure domains are evacuated
   GivenUpLate,
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -1,5 +1,6 @@
 #include "core/json_reader.h"
 
+#include "core/json_separators.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -23,6 +24,10 @@
 
 json_document::json_document(std::string_view Text, json_comments Comments)
     : Text(Text) {
+  if (hasMoreSeparators(Text, config::MaxJsonValues)) {
+    Faults.emplace_back("too many values");
+    return;
+  }
   const std::unique_ptr<Json::CharReader> Reader(
       strictReader(Comments).newCharReader());
   std::string SyntaxFaults;
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -341,6 +341,7 @@
                "refused_overloaded",
                "refused_shutting_down",
                "refused_duplicate",
+               "refused_no_memory",
                "refused_suspect",
                "refused_evacuated",
                "given_up_late",
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,7 +3,10 @@
 #include "base/clock.h"
 #include "base/codec.h"
 #include "base/log.h"
+#include "core/json_separators.h"
 
+#include <algorithm>
+#include <sys/resource.h>
 #include <thread>
 
 namespace tarragonbridge {
@@ -11,6 +14,12 @@
 namespace {
 constexpr int StatusUnavailable = 503;
 constexpr milliseconds ShutdownPollInterval{10};
+constexpr std::size_t MaxDescriptors = 16'000;
+/// Larger bodies are decoded one at a time, as they take many times their size.
+constexpr std::size_t LargeBodyBytes = 64U << 10U;
+/// Memory of the process for each value of a body: a fifth of it is taken when
+/// one is decoded.
+constexpr std::size_t MemoryBytesPerValue = 1'024;
 
 http_response toResponse(answer_request &&Answer) {
   http_response Response;
@@ -34,20 +43,44 @@
   return Init;
 }
 
-http_server_init makeServerInit(const daemon_config &Config) {
+std::size_t descriptorsOf(const daemon_config &Config) {
+  rlimit Limit{};
+  const bool IsKnown = getrlimit(RLIMIT_NOFILE, &Limit) == 0;
+  const std::size_t Allowed = IsKnown ? Limit.rlim_cur : MaxDescriptors;
+  const std::size_t Wanted =
+      Config.FileDescriptors != 0 ? Config.FileDescriptors : MaxDescriptors;
+  return std::min({Wanted, Allowed, MaxDescriptors});
+}
+
+process_upload_limits limitsOf(const daemon_config &Config) {
+  process_upload_limits Limits = makeUploadLimits(
+      std::size_t{Config.MemoryMb} << 20U, descriptorsOf(Config));
+  Limits.Callers.MaxUploadTime = config::MaxUploadTime;
+  Limits.Internal.MaxUploadTime = config::MaxUploadTime;
+  return Limits;
+}
+
+http_server_init makeServerInit(const daemon_config &Config,
+                                std::shared_ptr<connection_guard> Guard) {
   http_server_init Init;
+  Init.Guard = std::move(Guard);
   Init.Listen = Config.Listen;
   return Init;
 }
 } // namespace
 
 daemon::daemon(const daemon_config &Config)
-    : Init(makeInit(Config)), Server(makeServerInit(Config)),
+    : Init(makeInit(Config)),
+      CallerGuard(makeServerGuard(limitsOf(Config).Callers)),
+      PeerGuard(makeServerGuard(limitsOf(Config).Internal)),
+      MaxSeparators((std::size_t{Config.MemoryMb} << 20U) /
+                    MemoryBytesPerValue),
+      Server(makeServerInit(Config, CallerGuard)),
       Loop(makeDispatcher(Init),
            [this](effect &&Effect) { carryOut(std::move(Effect)); }),
       Targets(TargetClient,
               [this](event &&Event) { Loop.post(std::move(Event)); }),
-      Peers(Init.Self, Config.PeerListen,
+      Peers(Init.Self, Config.PeerListen, PeerGuard,
             [this](event &&Event) { Loop.post(std::move(Event)); }) {}
 
 daemon::~daemon() {
@@ -104,7 +137,9 @@
   if (Request.Path == "/metrics") {
     Server.respond(Handle,
                    {200,
-                    formatMetrics(Loop.currentFigures()) + Times.format(),
+                    formatMetrics(Loop.currentFigures(), CallerGuard->figures(),
+                                  PeerGuard->figures()) +
+                        Times.format(),
                     {},
                     "text/plain"});
     return true;
@@ -120,6 +155,16 @@
     Operators->onRequest(Handle, std::move(Request));
     return;
   }
+  if (hasMoreSeparators(Request.Body, MaxSeparators)) {
+    Server.respond(Handle,
+                   refusalResponse({"read body", Request.Peer,
+                                    reason::Malformed, "too many values"}));
+    return;
+  }
+  std::unique_lock<std::mutex> ParseLock(ParseMutex, std::defer_lock);
+  if (Request.Body.size() > LargeBodyBytes) {
+    ParseLock.lock();
+  }
   tryOr(
       [&]() -> result<void> {
         BOOST_LEAF_AUTO(Event, parseCallerRequest(Handle, Request));
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -14,12 +14,34 @@
 namespace {
 namespace config = pool::config;
 
-server_init serverInit(const std::string &Listen) {
+process_upload_limits limitsOf(const platform::process_settings &Settings) {
+  return makeUploadLimits(Settings.MemoryBytes, Settings.FileDescriptors);
+}
+
+std::shared_ptr<connection_guard> makeGuard(const upload_limits &Limits) {
+  return std::make_shared<connection_guard>(Limits, "");
+}
+
+/// @returns an estimate of the memory that a job takes while it is open; the
+/// start command of each task repeats the specification
+std::size_t heldBytes(const pool::job_submission &Job) {
+  std::size_t Tasks = 0;
+  for (const pool::job_step &Step : Job.Steps) {
+    Tasks += std::min<std::size_t>(Step.Count, config::MaxTasksPerJob);
+  }
+  const std::size_t BytesPerTask =
+      config::HeldBytesPerTask + Job.Specification.size();
+  return Job.Steps.capacity() * sizeof(pool::job_step) +
+         std::min(Tasks, config::MaxTasksPerJob) * BytesPerTask;
+}
+
+server_init serverInit(const std::string &Listen,
+                       std::shared_ptr<connection_guard> Guard) {
   server_init Init;
   Init.ListenAddress = Listen;
   Init.TimeLimitHeader = platform::TimeLimitHeader;
   Init.MaxBodyBytes = config::MaxBodyBytes;
-  Init.MaxConnections = config::MaxCallerConnections;
+  Init.Guard = std::move(Guard);
   Init.IdleTimeout = config::CallerIdleTimeout;
   return Init;
 }
@@ -64,11 +86,13 @@
             ++InvalidStoreItems;
             logEvent("store_entry_refused", {{"key", Key}, {"reason", Reason}});
           }),
-      CallerServer(Loop, serverInit(Given.CallerAddress)),
-      ReadinessServer(Loop, serverInit(Given.ReadinessAddress)) {
+      CallerGuard(makeGuard(limitsOf(Given).Callers)),
+      InternalGuard(makeGuard(limitsOf(Given).Internal)),
+      CallerServer(Loop, serverInit(Given.CallerAddress, CallerGuard)),
+      ReadinessServer(Loop, serverInit(Given.ReadinessAddress, InternalGuard)) {
   if (!Given.MetricsAddress.empty()) {
     MetricsServer = std::make_unique<async_http_server>(
-        Loop, serverInit(Given.MetricsAddress));
+        Loop, serverInit(Given.MetricsAddress, InternalGuard));
   }
 }
 
@@ -186,6 +210,8 @@
     Server.respond(Request, {400, "{}", {}});
     return;
   }
+  Submitted.HasRoom =
+      Server.hold(Request, heldBytes(Submitted.Job) + Received.Path.capacity());
   Submitted.HostName = std::move(Received.HostName);
   Submitted.Path = std::move(Received.Path);
   Submitted.TimeLimit = platform::decodeTimeLimit(Received.TimeLimit);
@@ -229,6 +255,7 @@
   Outgoing.Address = Address;
   Outgoing.Path = std::move(HttpRequest.Path);
   Outgoing.Body = std::move(HttpRequest.Body);
+  Outgoing.Body.shrink_to_fit(); // many may wait for their responses
   Outgoing.Headers = std::move(HttpRequest.Headers);
   Outgoing.Timeout = Timeout;
   Outgoing.NewConnection = NewConnection;
@@ -241,6 +268,7 @@
 
 void program::execute(pool::start_attempt &&Start) {
   platform::http_request HttpRequest = platform::encodeStart(Start);
+  std::string().swap(Start.Specification); // many may wait for their responses
   const std::string Address = Start.Address;
   const bool NewConnection = Start.NewConnection;
   sendToTarget(
@@ -318,6 +346,8 @@
   Add("requests_open", CallerServer.openRequests());
   Add("requests_malformed_total",
       CallerServer.malformedRequests() + MalformedBodies);
+  addMetrics(CallerGuard->figures(), "caller", Add);
+  addMetrics(InternalGuard->figures(), "internal", Add);
   Add("datagrams_refused_total", MalformedDatagrams);
   Add("event_loop_stalls_total", Stalls);
   Add("store_entries_refused_total", InvalidStoreItems);
