--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -52,6 +52,8 @@
 /// Consecutive unanswered requests that make a target unresponsive.
 constexpr std::uint32_t UnresponsiveAfterFailures = 2;
 constexpr long MaxConnectionsPerTarget = 6;
+/// Starts to one target without a response: each holds memory for its request.
+constexpr std::size_t MaxStartsInFlight = 64;
 /// Fraction by which a target's clock may run slow, and the error of reading
 /// it. Both are added to a lease before it counts as expired.
 constexpr double TargetClockDriftFraction = 0.03;
--- a/src/core/pool/owned_target.cpp
+++ b/src/core/pool/owned_target.cpp
@@ -388,13 +388,15 @@
     return {};
   }
   resource_vector Free = Record.Capacity;
+  std::size_t StartsInFlight = 0;
   for (const auto &[Ref, Attempt] : Attempts) {
     if (Attempt.Task.RunsAlone) {
       return {};
     }
     Free -= Attempt.Task.RequiredResources;
+    StartsInFlight += Attempt.Phase == attempt_phase::Sent ? 1 : 0;
   }
-  return Free;
+  return StartsInFlight < config::MaxStartsInFlight ? Free : resource_vector{};
 }
 
 bool owned_target::isUnresponsive() const {
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -86,17 +86,16 @@
     return Init;
   }
   void receive(request_handle Request, const server_request &Received) {
-    const bool IsRead = Received.Path == "/-/kv-range";
-    if (IsRead && !AnswersReads) {
-      Others.push_back(Request);
-    } else if (IsRead &&
-               Received.Query.at("prefix") == platform::OperatorPrefix) {
-      Server.respond(Request, {200, OperatorRange, {}});
-    } else if (IsRead) {
-      Server.respond(Request,
-                     {200, R"({"items":[],"truncated":false,"at":5})", {}});
+    const bool IsRead = Received.Path == "/-/kv-range" && AnswersReads;
+    const std::string Prefix = Received.query("prefix");
+    if (IsRead) {
+      Server.respond(Request, {200,
+                               Prefix == platform::OperatorPrefix
+                                   ? OperatorRange
+                                   : R"({"items":[],"truncated":false,"at":5})",
+                               {}});
     } else if (Received.Path == "/-/kv-watch" &&
-               Received.Query.at("prefix") == platform::TargetsPrefix) {
+               Prefix == platform::TargetsPrefix) {
       TargetsWatch = Request;
     } else {
       Others.push_back(Request);
