Urgent work first: order, waits and admission by urgency, with a floor

Cause: an owner's queue was ordered by latest start whatever the priority, and one wait, that of the queue's end, was told for all. So short urgent jobs were judged as if they waited behind long ones, and were served worst in a burst.

Change: src/core/pool/load/ holds the cost of turning a task away (in time, level, latest start, work), the order of starts with a share of the time for less urgent work that waits, waits by level (host state, index 8; 7 is an empty array), and Retry-After by level. A full queue drops what costs least. A refusal of a task zeroes only the targets that seemed to have room for it. While most owners have queues, an owner checks an offer to queue, and a new job that is refused everywhere is placed anew as a whole or refused. New: refused_urgent_total, starts_owed_total, tasks_displaced_total, urgent_wait_ms.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -1,6 +1,7 @@
 /// Every tunable of a pool host, with its unit.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -213,14 +214,28 @@
 constexpr milliseconds RemoteRoundTrip{5};
 /// Multiple of the latency objective after which a response has no use.
 constexpr double ExpiryObjectiveFactor = 3;
+/// Levels of urgency that are told apart: priorities from the last one on share
+/// it.
+constexpr std::size_t UrgencyLevels = 4;
+/// Latest starts within a step count as equal; then less work goes first.
+constexpr milliseconds UrgencyStep{10};
+/// By level: part of an owner's time that all less urgent levels together get
+/// while they wait. Small for the first level, whose callers wait at the
+/// moment; larger beyond it, so that no level goes unserved for as long as an
+/// overload lasts.
+constexpr std::array<double, UrgencyLevels - 1> LessUrgentShare{0.1, 0.2, 0.2};
+/// Owed time of less urgent levels beyond this is forgotten: after a long wait
+/// it would hold up the more urgent ones.
+constexpr milliseconds MaxOwedTime{1'000};
+/// Window of the rate at which each level's tasks start.
+constexpr milliseconds StartRateWindow{1'000};
 /// A job that must queue is refused if it would miss its objective should later
 /// jobs overtake. That isn't expected while no more than this fraction of all
 /// slots has owners with queued tasks.
 constexpr double OvertakingSaturation = 0.67;
-/// Added wait over the predicted one while all owners have queued tasks, for
-/// jobs of the first priority and for all others.
-constexpr double OvertakingFactorFirst = 2;
-constexpr double OvertakingFactor = 8;
+/// Added wait over the predicted one while all owners have queued tasks, by
+/// level of urgency: nothing overtakes the first one.
+constexpr std::array<double, UrgencyLevels> OvertakingFactors{0, 8, 12, 16};
 /// A queued task is kept if it is predicted to end within this fraction of the
 /// time left to its objective, or if it was offered to be queued.
 constexpr double QueueAdmissionFactor = 0.8;
--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -1,6 +1,7 @@
 /// Messages between pool hosts.
 #pragma once
 
+#include "tarragonbridge/pool/config.h"
 #include "tarragonbridge/pool/types.h"
 
 #include <optional>
@@ -111,6 +112,9 @@
   bool IsSchedulable = true; ///< false: draining, unresponsive or quarantined
 };
 
+/// Until a task of each level of urgency that is queued now would start.
+using queue_waits = std::array<milliseconds, config::UrgencyLevels>;
+
 /// State that a host advertises to its peers; the newest replaces all earlier
 /// ones.
 struct host_state {
@@ -122,6 +126,8 @@
   crash_summary Crashes = {}; ///< of its targets, recently
   /// Whether it can own targets: it is registered, and knows hosts and targets.
   bool CanOwnTargets = true;
+  /// By level of urgency; PredictedQueueWait each from earlier versions.
+  queue_waits QueueWaits = {};
 };
 
 /// A datagram between two hosts: the latest host state, reliable messages and
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -100,6 +100,9 @@
   OrphansDropped,  ///< queued tasks whose coordinator timed out
   TargetsSetAside, ///< quarantined for failing tasks of several jobs
   MessagesDropped, ///< too many to their receiver were unacknowledged
+  RefusedUrgent,   ///< as overloaded, of the most urgent level
+  StartsOwed,      ///< less urgent tasks started first by their share
+  TasksDisplaced,  ///< from a full queue, by tasks that cost more to refuse
   Pauses,          ///< of this process, longer than config::PauseThreshold
   Count
 };
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -1,11 +1,13 @@
 #include "core/pool/crashes_p.h"
 #include "core/pool/job_completion_p.h"
 #include "core/pool/job_offers_p.h"
+#include "core/pool/load/turn_away_cost_p.h"
 #include "core/pool/pauses_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
+#include <set>
 
 namespace tarragonbridge::pool {
 
@@ -26,38 +28,45 @@
 
 /// Places a task again after its offer was refused or its attempt ended
 /// without success.
-void rescheduleTask(reducer_context &Ctx, open_job &Job, job_task &Task) {
+/// @param[in,out] Offers to be sent
+void rescheduleTask(reducer_context &Ctx, open_job &Job, job_task &Task,
+                    pool_view &View, offers_by_owner &Offers) {
   Task.Phase = task_phase::Unplaced;
   if (Job.IsWithdrawn) {
     Ctx.count(counter::GivenUpPaused);
     abandonJob(Ctx, std::string(Job.Id), "paused");
     return;
   }
-  pool_view View = makePoolView(Ctx.State, Ctx.Now);
   const auto Placement =
       placeTask(View, {Job.Route.Service, Task.RequiredResources,
                        expectedRunTimeOf(Ctx.State, Job, Task),
                        until(Job.ObjectiveDeadline, Ctx.Now), Task.AvoidTarget,
-                       isSuspect(Task)});
+                       isSuspect(Task), Task.Rejections});
   if (!Placement || Task.Rejections >= config::MaxOfferRejections ||
       Job.ExpiresAt <= Ctx.Now) {
     abandonJob(Ctx, Job.Id, Placement ? "no_room" : "no_owner");
     return;
   }
-  offers_by_owner Offers;
   addToOffer(Ctx, Job, Task, View, *Placement, Offers);
-  sendOffers(Ctx, std::move(Offers));
 }
 
 /// Places the tasks that may be placed now.
 void placeUnplaced(reducer_context &Ctx, const std::string &Id) {
   open_job &Job = Ctx.State.Coordinator.Jobs.find(Id)->second;
-  for (job_task *Task : tasksToPlace(Job)) {
-    rescheduleTask(Ctx, Job, *Task);
+  const std::vector<job_task *> Tasks = tasksToPlace(Job);
+  if (Tasks.empty()) {
+    return;
+  }
+  pool_view View =
+      makePoolView(Ctx.State, urgencyLevelOf(Job.Route.Priority), Ctx.Now);
+  offers_by_owner Offers;
+  for (job_task *Task : Tasks) {
+    rescheduleTask(Ctx, Job, *Task, View, Offers);
     if (!Ctx.State.Coordinator.Jobs.contains(Id)) {
       return;
     }
   }
+  sendOffers(Ctx, std::move(Offers));
 }
 
 /// Gives a job up if several targets crashed under a task of it. @returns
@@ -145,35 +154,76 @@
 }
 
 namespace {
-/// Sets a host's known free capacity to none: its refusal shows that the state
-/// received from it is out of date.
-void recordNoCapacity(pool_state &State, const host_ref &Host,
-                      milliseconds Wait) {
-  const auto Peer = State.Peers.find(Host.Name);
-  if (Peer == State.Peers.end()) {
-    return;
+/// Corrects what is known of a host by its refusal of a task: none of its
+/// targets has room for such a task, and a queued one of this level would wait.
+void recordRefusal(host_state &HostState, const resource_vector &Required,
+                   std::size_t Level, milliseconds Wait) {
+  for (target_free_capacity &Capacity : HostState.Targets) {
+    if (Required.fitsIn(Capacity.Free)) {
+      Capacity.Free = {};
+    }
+  }
+  HostState.PredictedQueueWait = std::max(HostState.PredictedQueueWait, Wait);
+  for (; Level < HostState.QueueWaits.size(); ++Level) {
+    HostState.QueueWaits.at(Level) =
+        std::max(HostState.QueueWaits.at(Level), Wait);
   }
-  for (target_free_capacity &Capacity : Peer->second.State.Targets) {
-    Capacity.Free = {};
+}
+} // namespace
+
+namespace {
+/// An owner that doesn't take a task says so at once; it had queued one that it
+/// refuses later, as when it shuts down.
+constexpr milliseconds OfferAnswerTime = 2 * config::RemoteRoundTrip;
+
+/// Places the refused tasks of a job elsewhere. While most owners have queues,
+/// a new job of which nothing was taken is placed as a whole again, or refused.
+void placeRefused(reducer_context &Ctx, const std::string &Id) {
+  open_job &Job = Ctx.State.Coordinator.Jobs.find(Id)->second;
+  const bool IsExhausted =
+      std::any_of(Job.Tasks.begin(), Job.Tasks.end(), [](const job_task &Task) {
+        return Task.Rejections >= config::MaxOfferRejections;
+      });
+  const bool IsWholeUnplaced =
+      std::all_of(Job.Tasks.begin(), Job.Tasks.end(), [](const job_task &Task) {
+        return Task.Phase == task_phase::Unplaced;
+      });
+  const bool IsContended =
+      Ctx.State.Coordinator.Saturation > config::OvertakingSaturation;
+  const bool IsNew = Ctx.Now <= Job.SubmittedAt + OfferAnswerTime;
+  if (IsContended && IsNew && IsWholeUnplaced && !Job.MayHaveRun &&
+      !Job.IsWithdrawn && !IsExhausted) {
+    placeJob(Ctx, Job);
+  } else {
+    placeUnplaced(Ctx, Id);
   }
-  Peer->second.State.PredictedQueueWait =
-      std::max(Peer->second.State.PredictedQueueWait, Wait);
 }
 } // namespace
 
 void handleOfferRefused(reducer_context &Ctx, const host_ref &From,
                         const offer_refused &Refused) {
-  recordNoCapacity(Ctx.State, From, Refused.PredictedQueueWait);
+  const auto Peer = Ctx.State.Peers.find(From.Name);
+  std::set<std::string> Affected;
   for (const attempt_ref &Attempt : Refused.Attempts) {
     const auto Found = Ctx.State.Coordinator.Jobs.find(Attempt.Job);
     if (Found == Ctx.State.Coordinator.Jobs.end()) {
       continue;
     }
-    if (job_task *Task = findTask(Found->second, Attempt)) {
+    open_job &Job = Found->second;
+    if (job_task *Task = findTask(Job, Attempt)) {
+      if (Peer != Ctx.State.Peers.end()) {
+        recordRefusal(Peer->second.State, Task->RequiredResources,
+                      urgencyLevelOf(Job.Route.Priority),
+                      Refused.PredictedQueueWait);
+      }
       ++Task->Rejections;
-      rescheduleTask(Ctx, Found->second, *Task);
+      Task->Phase = task_phase::Unplaced;
+      Affected.insert(Attempt.Job);
     }
   }
+  for (const std::string &Id : Affected) {
+    placeRefused(Ctx, Id);
+  }
 }
 
 void handleTaskEnded(reducer_context &Ctx, const task_ended &Ended) {
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -3,6 +3,8 @@
 #include "core/pool/crashes_p.h"
 #include "core/pool/job_completion_p.h"
 #include "core/pool/job_offers_p.h"
+#include "core/pool/load/retry_time_p.h"
+#include "core/pool/load/turn_away_cost_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
@@ -122,7 +124,8 @@
 void placeJob(reducer_context &Ctx, open_job &Job) {
   pool_state &State = Ctx.State;
   const std::string Id = Job.Id;
-  pool_view View = makePoolView(State, Ctx.Now);
+  const std::size_t Level = urgencyLevelOf(Job.Route.Priority);
+  pool_view View = makePoolView(State, Level, Ctx.Now);
   const milliseconds Objective = until(Job.ObjectiveDeadline, Ctx.Now);
   Job.AwaitsOwner = hasNoSlots(View) && Job.AwaitsOwnerUntil > Ctx.Now;
   if (Job.AwaitsOwner || endAfterCrashes(Ctx, Job)) {
@@ -137,20 +140,22 @@
     const auto Placement =
         placeTask(View, {Job.Route.Service, Task->RequiredResources,
                          expectedRunTimeOf(State, Job, *Task), Objective, "",
-                         isSuspect(*Task)});
+                         isSuspect(*Task), Task->Rejections});
     if (!Placement) {
       abandonJob(Ctx, Id, "no_owner");
       return;
     }
     MustQueue = MustQueue || Placement->Target.empty();
     CompletesIn = std::max(CompletesIn, Placement->CompletesIn);
-    const milliseconds Overtaking = overtakingTime(
-        State.Coordinator.Saturation, Job.Route.Priority, Placement->QueueWait);
+    const milliseconds Overtaking = overtakingTime(State.Coordinator.Saturation,
+                                                   Level, Placement->QueueWait);
     LatestEnd = std::max(LatestEnd, Placement->CompletesIn + Overtaking);
     Placements.push_back(*Placement);
   }
-  if (MustQueue && LatestEnd > Objective) {
-    Ctx.count(counter::RefusedOverloaded);
+  const milliseconds Allowed =
+      queueingTimeAllowed(State.Coordinator.Saturation, Objective);
+  if (MustQueue && LatestEnd > Allowed) {
+    countOverloaded(Ctx, Job);
     Ctx.log("job_refused", {{"job", Id},
                             {"reason", "overloaded"},
                             {"predicted_end_ms", millisecondsText(CompletesIn)},
@@ -158,10 +163,10 @@
                             {"objective_ms", millisecondsText(Objective)},
                             {"priority", std::to_string(Job.Route.Priority)}});
     finishJob(Ctx, Id, response_kind::Overloaded,
-              retryAfter(Id, LatestEnd - Objective));
+              retryAfter(Id, Level, LatestEnd - Allowed));
     return;
   }
-  Job.PredictedEnd = CompletesIn;
+  Job.PredictedEnd = until(Ctx.Now, Job.SubmittedAt) + CompletesIn;
   offers_by_owner Offers;
   for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
     addToOffer(Ctx, Job, *Tasks[Index], View, Placements[Index], Offers);
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -2,10 +2,11 @@
 
 #include "core/pool/crashes_p.h"
 #include "core/pool/job_offers_p.h"
+#include "core/pool/load/retry_time_p.h"
+#include "core/pool/load/turn_away_cost_p.h"
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace tarragonbridge::pool {
 
@@ -149,13 +150,11 @@
   finishJob(Ctx, Id, Kind);
 }
 
-milliseconds retryAfter(const std::string &Id, milliseconds Delay) {
-  const milliseconds Spread(
-      XXH3_64bits(Id.data(), Id.size()) %
-      static_cast<std::uint64_t>(
-          (config::MaxRetryAfter - config::MinRetryAfter).count()));
-  return std::min(config::MinRetryAfter + Delay + Spread,
-                  config::MaxRetryAfter);
+void countOverloaded(reducer_context &Ctx, const open_job &Job) {
+  Ctx.count(counter::RefusedOverloaded);
+  if (urgencyLevelOf(Job.Route.Priority) == 0) {
+    Ctx.count(counter::RefusedUrgent);
+  }
 }
 
 void abandonJob(reducer_context &Ctx, const std::string &Id,
@@ -165,9 +164,10 @@
     failJob(Ctx, Id, response_kind::JobAbandoned, Reason);
     return;
   }
-  Ctx.count(counter::RefusedOverloaded);
-  finishJob(Ctx, Id, response_kind::Overloaded,
-            retryAfter(Id, milliseconds(0)));
+  countOverloaded(Ctx, Job);
+  finishJob(
+      Ctx, Id, response_kind::Overloaded,
+      retryAfter(Id, urgencyLevelOf(Job.Route.Priority), milliseconds(0)));
 }
 
 } // namespace tarragonbridge::pool
--- a/src/core/pool/job_offers.cpp
+++ b/src/core/pool/job_offers.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/job_offers_p.h"
 
 #include "core/pool/crashes_p.h"
+#include "core/pool/load/turn_away_cost_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
@@ -12,7 +13,7 @@
 namespace {
 /// @returns what the coordinator knows of an owner, without reservations
 owner_view makeOwnerView(const std::string &Name, milliseconds RoundTrip,
-                         const host_state &HostState) {
+                         const host_state &HostState, std::size_t Level) {
   double SpeedSum = 0;
   std::size_t SchedulableCount = 0;
   for (const target_free_capacity &FreeTarget : HostState.Targets) {
@@ -21,7 +22,7 @@
       ++SchedulableCount;
     }
   }
-  owner_view Owner{Name, RoundTrip, HostState.PredictedQueueWait};
+  owner_view Owner{Name, RoundTrip, HostState.QueueWaits.at(Level)};
   if (SchedulableCount > 0) {
     Owner.Slots = HostState.Slots;
     Owner.MeanSpeed = SpeedSum / static_cast<double>(SchedulableCount);
@@ -32,7 +33,8 @@
 /// @returns the view of a peer that offers can be sent to, nothing of others
 std::optional<owner_view> makePeerView(const pool_state &State,
                                        const std::string &Name,
-                                       const peer_host &Peer, boot_time Now) {
+                                       const peer_host &Peer, std::size_t Level,
+                                       boot_time Now) {
   if (Peer.State.IsShuttingDown ||
       !peerReceivedWithin(Peer, Now, config::HandoverPeerTimeout)) {
     return std::nullopt;
@@ -41,19 +43,20 @@
       Peer.Member.FailureDomain == State.Init.FailureDomain;
   owner_view Owner = makeOwnerView(
       Name, IsSameDomain ? config::DomainRoundTrip : config::RemoteRoundTrip,
-      Peer.State);
+      Peer.State, Level);
   Owner.IsNeighbour = Peer.IsNeighbour;
   for (const auto &Reserved : Peer.Reservations) {
-    if (Reserved.Target.empty() && Owner.Slots > 0) {
+    if (Reserved.Target.empty() && Reserved.Level <= Level && Owner.Slots > 0) {
       Owner.PredictedQueueWait += Reserved.RunTime / Owner.Slots;
     }
   }
   return Owner;
 }
 
-owner_view makeSelfView(const pool_state &State, const host_state &HostState) {
+owner_view makeSelfView(const pool_state &State, const host_state &HostState,
+                        std::size_t Level) {
   owner_view Owner =
-      makeOwnerView(State.Init.Name, config::LocalRoundTrip, HostState);
+      makeOwnerView(State.Init.Name, config::LocalRoundTrip, HostState, Level);
   Owner.IsSelf = true;
   return Owner;
 }
@@ -79,14 +82,14 @@
 }
 } // namespace
 
-pool_view makePoolView(pool_state &State, boot_time Now) {
+pool_view makePoolView(pool_state &State, std::size_t Level, boot_time Now) {
   pool_view View;
   View.TieBreakSeed = State.Random();
   const host_state Own = makeHostState(State, Now);
-  View.Owners.push_back(makeSelfView(State, Own));
+  View.Owners.push_back(makeSelfView(State, Own, Level));
   addFreeTargets(View, Own, {});
   for (const auto &[Name, Peer] : State.Peers) {
-    if (auto Owner = makePeerView(State, Name, Peer, Now)) {
+    if (auto Owner = makePeerView(State, Name, Peer, Level, Now)) {
       View.Owners.push_back(std::move(*Owner));
       addFreeTargets(View, Peer.State, Peer.Reservations);
     }
@@ -95,10 +98,11 @@
 }
 
 double currentSaturation(const pool_state &State, boot_time Now) {
+  constexpr std::size_t Level = config::UrgencyLevels - 1;
   std::vector<owner_view> Owners{
-      makeSelfView(State, makeHostState(State, Now))};
+      makeSelfView(State, makeHostState(State, Now), Level)};
   for (const auto &[Name, Peer] : State.Peers) {
-    if (auto Owner = makePeerView(State, Name, Peer, Now)) {
+    if (auto Owner = makePeerView(State, Name, Peer, Level, Now)) {
       Owners.push_back(std::move(*Owner));
     }
   }
@@ -139,9 +143,12 @@
   Task.Phase = task_phase::Offered;
   Task.Owner = hostRefOf(State, Host);
   Task.OwnerToken = 0;
-  // An owner without free capacity refuses the task, which is then offered
-  // elsewhere. The last permitted offer allows queueing, which bounds that.
-  const bool MayQueue = Placement.Target.empty() ||
+  // An owner where the task would be late refuses it, and it is offered
+  // elsewhere: while most owners have queues, others have counted on the same
+  // room. The last permitted offer allows queueing, which bounds that.
+  const bool IsContended =
+      State.Coordinator.Saturation > config::OvertakingSaturation;
+  const bool MayQueue = (Placement.Target.empty() && !IsContended) ||
                         Task.Rejections + 1 >= config::MaxOfferRejections;
   Offer.Tasks.push_back({Task.Step, Task.Index, Task.AttemptNumber,
                          Task.RequiredResources, ExpectedRunTime,
@@ -151,7 +158,8 @@
   const auto Peer = State.Peers.find(Host);
   if (Peer != State.Peers.end()) {
     Peer->second.Reservations.push_back(
-        {Ctx.Now, Placement.Target, Task.RequiredResources, ExpectedRunTime});
+        {Ctx.Now, Placement.Target, Task.RequiredResources, ExpectedRunTime,
+         urgencyLevelOf(Job.Route.Priority)});
   }
   Ctx.count(counter::TasksOffered);
 }
--- a/src/core/pool/job_offers_p.h
+++ b/src/core/pool/job_offers_p.h
@@ -10,7 +10,8 @@
 
 /// @returns all reachable owners, including this host, and their free capacity
 /// less the reservations
-pool_view makePoolView(pool_state &State, boot_time Now);
+/// @param[in] Level of urgency that the waits are for
+pool_view makePoolView(pool_state &State, std::size_t Level, boot_time Now);
 
 /// @returns saturationOf() the reachable owners
 double currentSaturation(const pool_state &State, boot_time Now);
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -1,10 +1,12 @@
 #include "core/pool/crashes_p.h"
+#include "core/pool/load/queue_order_p.h"
 #include "core/pool/owner_capacity_p.h"
 #include "core/pool/target_feedback_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
+#include <map>
 
 namespace tarragonbridge::pool {
 
@@ -14,18 +16,8 @@
 /// Reported as the predicted queue wait while no target gets new attempts.
 constexpr milliseconds NoTargetsWait{1'000};
 
-/// @returns the latest start that meets the objective at speed 1
-boot_time latestStartOf(const queued_task &Task) {
-  return Task.ObjectiveDeadline - Task.ExpectedRunTime;
-}
-
 void enqueue(owner_state &Owner, queued_task Task) {
-  const auto Position =
-      std::upper_bound(Owner.Queue.begin(), Owner.Queue.end(), Task,
-                       [](const queued_task &A, const queued_task &B) {
-                         return latestStartOf(A) < latestStartOf(B);
-                       });
-  Owner.Queue.insert(Position, std::move(Task));
+  insertByUrgency(Owner.Queue, std::move(Task));
   Owner.QueueScanDue = true;
 }
 
@@ -58,32 +50,29 @@
   return Owner.OwnedTargets.size() == 1 && Owner.OwnedTargets.contains(Target);
 }
 
-void refuseTasks(reducer_context &Ctx, const host_ref &Coordinator,
-                 std::vector<attempt_ref> Tasks) {
-  if (!Tasks.empty()) {
-    Ctx.count(counter::OffersRefused, Tasks.size());
-    const auto QueueWait = predictQueueWait(Ctx.State, Ctx.Now);
+/// Refuses tasks, in one message for each coordinator and level of urgency.
+void refuseTasks(reducer_context &Ctx, const std::vector<queued_task> &Tasks) {
+  if (Tasks.empty()) {
+    return;
+  }
+  Ctx.count(counter::OffersRefused, Tasks.size());
+  std::map<std::pair<host_ref, std::size_t>, std::vector<attempt_ref>> Refused;
+  for (const queued_task &Task : Tasks) {
+    Refused[{Task.Coordinator, urgencyLevelOf(Task.Priority)}].push_back(
+        Task.Attempt);
+  }
+  const auto Waits = Ctx.State.IsShuttingDown
+                         ? std::nullopt
+                         : predictQueueWaits(Ctx.State, Ctx.Now);
+  for (auto &[Receiver, Attempts] : Refused) {
+    const auto &[Coordinator, Level] = Receiver;
     sendMessage(
         Ctx, Coordinator,
-        offer_refused{std::move(Tasks), QueueWait.value_or(NoTargetsWait)});
+        offer_refused{std::move(Attempts),
+                      Waits ? Waits->ByLevel.at(Level) : NoTargetsWait});
   }
 }
 
-/// Moves the tasks that can't meet their objective any more behind those that
-/// can.
-void sortByFeasibility(std::vector<queued_task> &Queue, const pool_view &View,
-                       boot_time Now) {
-  double Fastest = config::MinSpeed;
-  for (const available_target &Free : View.FreeTargets) {
-    Fastest = std::max(Fastest, Free.Speed);
-  }
-  std::stable_partition(Queue.begin(), Queue.end(),
-                        [&](const queued_task &Task) {
-                          return Now + runTime(Task.ExpectedRunTime, Fastest) <=
-                                 Task.ObjectiveDeadline;
-                        });
-}
-
 /// @returns whether a coordinator has timed out, so that nobody waits for its
 /// tasks. This host's own jobs are withdrawn instead.
 bool isOrphan(const pool_state &State, const host_ref &Coordinator,
@@ -140,7 +129,10 @@
   ownership_context Context = Ctx.ownershipContext();
   pool_view View = ownCapacity(Ctx.State, Ctx.Now);
   std::vector<busy_target> Busy = busyTargets(Ctx.State, Ctx.Now);
-  sortByFeasibility(Owner.Queue, View, Ctx.Now);
+  refuseTasks(Ctx, extractExpired(Owner.Queue, Ctx.Now));
+  const start_order Order =
+      orderForStarts(Owner.Queue, Owner.StartShares,
+                     fastestSpeed(Ctx.State, Ctx.Now), Ctx.Now);
   std::vector<queued_task> Unstarted;
   std::size_t Scanned = 0;
   for (queued_task &Task : Owner.Queue) {
@@ -152,10 +144,6 @@
       Ctx.count(counter::OrphansDropped);
       continue;
     }
-    if (Task.ExpiresAt <= Ctx.Now) {
-      refuseTasks(Ctx, Task.Coordinator, {Task.Attempt});
-      continue;
-    }
     const auto Placing = placeStartable(Ctx, View, Busy, Task, Context);
     if (!Placing) {
       Unstarted.push_back(std::move(Task));
@@ -163,18 +151,20 @@
     }
     Owner.CapacityChanged = true;
     Ctx.observe(time_metric::TaskQueueing, Task.QueuedAt);
+    const milliseconds RunTime =
+        runTime(Task.ExpectedRunTime, speedOf(Ctx.State, Placing->Target));
     const milliseconds ProbeAfter =
         config::ProbeMargin +
-        std::chrono::duration_cast<milliseconds>(
-            config::ProbeFactor *
-            runTime(Task.ExpectedRunTime, speedOf(Ctx.State, Placing->Target)));
+        std::chrono::duration_cast<milliseconds>(config::ProbeFactor * RunTime);
+    Owner.StartShares.recordStart(urgencyLevelOf(Task.Priority), RunTime,
+                                  Order.LeastUrgent, Ctx.Now);
+    if (Order.Favoured == Task.Attempt) {
+      Ctx.count(counter::StartsOwed);
+    }
     Owner.OwnedTargets.find(Placing->Target)
         ->second.start(std::move(Task), ProbeAfter, Context);
   }
-  std::stable_sort(Unstarted.begin(), Unstarted.end(),
-                   [](const queued_task &A, const queued_task &B) {
-                     return latestStartOf(A) < latestStartOf(B);
-                   });
+  sortByUrgency(Unstarted);
   Owner.Queue = std::move(Unstarted);
 }
 
@@ -186,29 +176,53 @@
                   [](const queued_task &Task) { return Task.MayQueue; })) {
     return;
   }
-  const auto QueueWait = predictQueueWait(Ctx.State, Ctx.Now);
+  const auto Waits = predictQueueWaits(Ctx.State, Ctx.Now);
   const double Speed = meanSpeed(Ctx.State, Ctx.Now);
+  std::vector<queued_task> Refused;
   std::erase_if(Queue, [&](queued_task &Task) {
     if (Task.MayQueue) {
       return false;
     }
     const auto TimeAllowed = std::chrono::duration_cast<milliseconds>(
         config::QueueAdmissionFactor * until(Task.ObjectiveDeadline, Ctx.Now));
-    if (QueueWait &&
-        *QueueWait + runTime(Task.ExpectedRunTime, Speed) <= TimeAllowed) {
+    if (Waits && Waits->ByLevel.at(urgencyLevelOf(Task.Priority)) +
+                         runTime(Task.ExpectedRunTime, Speed) <=
+                     TimeAllowed) {
       Task.MayQueue = true;
       return false;
     }
-    refuseTasks(Ctx, Task.Coordinator, {Task.Attempt});
+    Refused.push_back(std::move(Task));
     return true;
   });
+  refuseTasks(Ctx, Refused);
 }
 
 /// Refuses the whole queue of a host that no longer owns a target.
 void refuseAll(reducer_context &Ctx) {
-  for (const queued_task &Task : std::exchange(Ctx.State.Owner.Queue, {})) {
-    refuseTasks(Ctx, Task.Coordinator, {Task.Attempt});
+  refuseTasks(Ctx, std::exchange(Ctx.State.Owner.Queue, {}));
+}
+
+/// Accepts a task. A full queue turns away what costs callers least, which may
+/// be this task.
+/// @returns the task that is turned away, if any
+std::optional<queued_task> acceptTask(reducer_context &Ctx, queued_task Task) {
+  owner_state &Owner = Ctx.State.Owner;
+  if (Owner.Queue.size() < config::MaxQueuedTasks) {
+    enqueue(Owner, std::move(Task));
+    return std::nullopt;
+  }
+  const auto Displaced = findDisplaced(
+      Owner.Queue, Task, fastestSpeed(Ctx.State, Ctx.Now), Ctx.Now);
+  if (!Displaced) {
+    return Task;
   }
+  const auto Position =
+      Owner.Queue.begin() + static_cast<std::ptrdiff_t>(*Displaced);
+  queued_task Least = std::move(*Position);
+  Owner.Queue.erase(Position);
+  Ctx.count(counter::TasksDisplaced);
+  enqueue(Owner, std::move(Task));
+  return Least;
 }
 
 counter counterOf(attempt_outcome End) {
@@ -264,22 +278,21 @@
   owner_state &Owner = Ctx.State.Owner;
   const auto Specification =
       std::make_shared<const std::string>(std::move(Offer.Specification));
-  std::vector<attempt_ref> Refused;
+  std::vector<queued_task> Refused;
   for (offered_task &Offered : Offer.Tasks) {
     queued_task Task;
     Task.Attempt = {Offer.Job, Offered.Step, Offered.Task,
                     Offered.AttemptNumber};
+    Task.Coordinator = From;
+    Task.Priority = Offer.Priority;
     if (Ctx.State.IsShuttingDown || Owner.OwnedTargets.empty() ||
-        Owner.Queue.size() >= config::MaxQueuedTasks ||
         Owner.Cancelled.contains({From, Task.Attempt}) ||
         ownsOnly(Owner, Offered.AvoidTarget) || hasTask(Owner, Task.Attempt)) {
-      Refused.push_back(std::move(Task.Attempt));
+      Refused.push_back(std::move(Task));
       continue;
     }
-    Task.Coordinator = From;
     Task.QueuedAt = Ctx.Now;
     Task.Service = Offer.Service;
-    Task.Priority = Offer.Priority;
     Task.RequiredResources = Offered.RequiredResources;
     Task.ExpectedRunTime = std::max(Offered.ExpectedRunTime, milliseconds(1));
     Task.ObjectiveDeadline = Ctx.Now + Offered.ObjectiveDeadline;
@@ -289,9 +302,11 @@
     Task.MayQueue = Offered.MayQueue;
     Task.RunsAlone = Offered.RunsAlone;
     Owner.MeanTaskResources.addSample(Offered.RequiredResources);
-    enqueue(Owner, std::move(Task));
+    if (auto TurnedAway = acceptTask(Ctx, std::move(Task))) {
+      Refused.push_back(std::move(*TurnedAway));
+    }
   }
-  refuseTasks(Ctx, From, std::move(Refused));
+  refuseTasks(Ctx, Refused);
 }
 
 void cancelTasks(reducer_context &Ctx, const host_ref &From,
--- a/src/core/pool/owner_capacity.cpp
+++ b/src/core/pool/owner_capacity.cpp
@@ -6,9 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <limits>
-#include <queue>
 
 namespace tarragonbridge::pool {
 
@@ -103,36 +101,35 @@
   return Serving.empty() ? 1 : Sum / static_cast<double>(Serving.size());
 }
 
-std::optional<milliseconds> predictQueueWait(const pool_state &State,
-                                             boot_time Now) {
-  const std::uint32_t Slots = slotsOf(State, Now);
-  if (Slots == 0) {
+double fastestSpeed(const pool_state &State, boot_time Now) {
+  double Fastest = config::MinSpeed;
+  for (const owned_target *OwnedTarget : servingTargets(State, Now)) {
+    Fastest = std::max(Fastest, speedOf(State, OwnedTarget->record().Id));
+  }
+  return Fastest;
+}
+
+std::optional<predicted_waits> predictQueueWaits(const pool_state &State,
+                                                 boot_time Now) {
+  queue_service Service;
+  Service.Slots = slotsOf(State, Now);
+  if (Service.Slots == 0) {
     return std::nullopt;
   }
-  std::priority_queue<milliseconds, std::vector<milliseconds>, std::greater<>>
-      FreeIn;
   for (const auto &[Id, OwnedTarget] : State.Owner.OwnedTargets) {
     const double Speed = speedOf(State, Id);
     for (const auto &[Ref, Attempt] : OwnedTarget.attempts()) {
-      if (FreeIn.size() >= Slots) {
+      if (Service.RunningEndsIn.size() >= Service.Slots) {
         break;
       }
-      FreeIn.push(remainingTime(Attempt, Speed, Now));
+      Service.RunningEndsIn.push_back(remainingTime(Attempt, Speed, Now));
     }
   }
-  // Each queued task takes one free slot; one more shows that there is no wait.
-  const std::size_t RelevantSlots = std::min<std::size_t>(
-      Slots, FreeIn.size() + State.Owner.Queue.size() + 1);
-  while (FreeIn.size() < RelevantSlots) {
-    FreeIn.push(milliseconds(0));
-  }
-  const double Speed = meanSpeed(State, Now);
-  for (const queued_task &Task : State.Owner.Queue) {
-    const milliseconds Start = FreeIn.top();
-    FreeIn.pop();
-    FreeIn.push(Start + runTime(Task.ExpectedRunTime, Speed));
-  }
-  return FreeIn.top();
+  Service.MeanSpeed = meanSpeed(State, Now);
+  Service.FastestSpeed =
+      State.Owner.Queue.empty() ? Service.MeanSpeed : fastestSpeed(State, Now);
+  return predictWaits(std::move(Service), State.Owner.Queue,
+                      State.Owner.StartShares, Now);
 }
 
 pool_view ownCapacity(const pool_state &State, boot_time Now) {
@@ -163,8 +160,9 @@
   HostState.IsShuttingDown = State.IsShuttingDown;
   HostState.ConfigurationVersion = State.Configuration.Version;
   HostState.Slots = State.IsShuttingDown ? 0 : slotsOf(State, Now);
-  HostState.PredictedQueueWait =
-      predictQueueWait(State, Now).value_or(milliseconds(0));
+  const auto Waits = predictQueueWaits(State, Now).value_or(predicted_waits{});
+  HostState.PredictedQueueWait = Waits.AtEnd;
+  HostState.QueueWaits = Waits.ByLevel;
   HostState.Crashes = ownCrashes(State);
   HostState.CanOwnTargets = canOwnTargets(State);
   const auto Serving = servingTargets(State, Now);
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -258,6 +258,23 @@
   return Crashes;
 }
 
+array encode(const queue_waits &Waits) {
+  array Row;
+  for (const milliseconds Wait : Waits) {
+    Row.emplace_back(encodeTime(Wait));
+  }
+  return Row;
+}
+/// Accepts more or fewer levels: the last one stands for those that lack.
+queue_waits decodeWaits(const value &Row) {
+  queue_waits Waits{};
+  const std::size_t Last = Row.as_array().size() - 1;
+  for (std::size_t Level = 0; Level < Waits.size(); ++Level) {
+    Waits.at(Level) = decodeTime(at(Row, std::min(Level, Last)));
+  }
+  return Waits;
+}
+
 array encode(const host_state &State) {
   array Targets;
   for (const target_free_capacity &FreeCapacity : State.Targets) {
@@ -268,7 +285,8 @@
   }
   return row(State.IsShuttingDown, std::int64_t(State.ConfigurationVersion),
              encodeTime(State.PredictedQueueWait), State.Slots, Targets,
-             encode(State.Crashes), State.CanOwnTargets);
+             encode(State.Crashes), State.CanOwnTargets, array(),
+             encode(State.QueueWaits));
 }
 host_state decodeState(const value &Row) {
   host_state State{at(Row, 0).as_bool(),
@@ -284,6 +302,12 @@
   constexpr std::size_t CanOwnIndex = 6;
   State.CanOwnTargets =
       Row.as_array().size() <= CanOwnIndex || at(Row, CanOwnIndex).as_bool();
+  constexpr std::size_t WaitsIndex = 8;
+  if (Row.as_array().size() > WaitsIndex) {
+    State.QueueWaits = decodeWaits(at(Row, WaitsIndex));
+  } else {
+    State.QueueWaits.fill(State.PredictedQueueWait);
+  }
   for (const value &FreeCapacity : at(Row, 4).as_array()) {
     State.Targets.push_back(
         {decodeText(at(FreeCapacity, 0)), decodeText(at(FreeCapacity, 1)),
--- a/src/core/pool/placement.cpp
+++ b/src/core/pool/placement.cpp
@@ -103,7 +103,8 @@
 
 /// Samples owners by their numbers of slots, so that not all hosts join the
 /// same short queue. This host is always included.
-std::vector<std::size_t> sampleOwners(const pool_view &View) {
+std::vector<std::size_t> sampleOwners(const pool_view &View,
+                                      std::uint32_t Rejections) {
   std::vector<std::pair<double, std::size_t>> Sampled;
   std::vector<std::size_t> Owners;
   for (std::size_t Index = 0; Index < View.Owners.size(); ++Index) {
@@ -124,7 +125,8 @@
             Weight,
         Index);
   }
-  const std::size_t Count = std::min(SampledQueues, Sampled.size());
+  const std::size_t Count =
+      std::min(SampledQueues << Rejections, Sampled.size());
   std::partial_sort(Sampled.begin(),
                     Sampled.begin() + static_cast<std::ptrdiff_t>(Count),
                     Sampled.end());
@@ -134,12 +136,13 @@
   return Owners;
 }
 
-std::optional<std::size_t> shortestSampledQueue(const pool_view &View) {
+std::optional<std::size_t> shortestSampledQueue(const pool_view &View,
+                                                std::uint32_t Rejections) {
   std::optional<std::size_t> Best;
   const auto QueueDelayOf = [&](std::size_t Index) {
     return View.Owners[Index].PredictedQueueWait + View.Owners[Index].RoundTrip;
   };
-  for (const std::size_t Index : sampleOwners(View)) {
+  for (const std::size_t Index : sampleOwners(View, Rejections)) {
     if (!Best || QueueDelayOf(Index) < QueueDelayOf(*Best)) {
       Best = Index;
     }
@@ -158,14 +161,25 @@
   return Slots > 0 ? QueuedSlots / Slots : 0;
 }
 
-milliseconds overtakingTime(double Saturation, std::uint32_t Priority,
-                            milliseconds QueueWait) {
+namespace {
+/// @returns how far most queues are from empty, 0 to 1
+double excessOf(double Saturation) {
   constexpr double From = config::OvertakingSaturation;
-  const double Excess = std::clamp((Saturation - From) / (1 - From), 0.0, 1.0);
-  const double Factor =
-      Priority == 0 ? config::OvertakingFactorFirst : config::OvertakingFactor;
-  return milliseconds(
-      std::llround(Factor * Excess * static_cast<double>(QueueWait.count())));
+  return std::clamp((Saturation - From) / (1 - From), 0.0, 1.0);
+}
+} // namespace
+
+milliseconds queueingTimeAllowed(double Saturation, milliseconds Objective) {
+  const double Margin =
+      (1 - config::QueueAdmissionFactor) * excessOf(Saturation);
+  return std::chrono::duration_cast<milliseconds>((1 - Margin) * Objective);
+}
+
+milliseconds overtakingTime(double Saturation, std::size_t Level,
+                            milliseconds QueueWait) {
+  const double Factor = config::OvertakingFactors.at(Level);
+  return milliseconds(std::llround(Factor * excessOf(Saturation) *
+                                   static_cast<double>(QueueWait.count())));
 }
 
 milliseconds runTime(milliseconds Expected, double Speed) {
@@ -179,7 +193,8 @@
   if (Candidate && Candidate->MeetsObjective) {
     return reserve(View, *Candidate, Request);
   }
-  const std::optional<std::size_t> Queue = shortestSampledQueue(View);
+  const std::optional<std::size_t> Queue =
+      shortestSampledQueue(View, Request.Rejections);
   if (!Queue) {
     return Candidate ? std::optional(reserve(View, *Candidate, Request))
                      : std::nullopt;
--- a/src/core/pool/placement_p.h
+++ b/src/core/pool/placement_p.h
@@ -49,6 +49,8 @@
   std::string AvoidTarget;
   /// No other task joins it on its target, and it joins none where it can.
   bool RunsAlone = false;
+  /// Refusals by owners so far: each doubles the number of queues compared.
+  std::uint32_t Rejections = 0;
 };
 
 struct placement {
@@ -102,9 +104,15 @@
 /// @param[in] Saturation see saturationOf(), of the last second
 /// @param[in] QueueWait as predicted
 /// @returns the time to be added to the predicted wait
-milliseconds overtakingTime(double Saturation, std::uint32_t Priority,
+milliseconds overtakingTime(double Saturation, std::size_t Level,
                             milliseconds QueueWait);
 
+/// @param[in] Saturation see saturationOf(), of the last second
+/// @returns the time within which a job that must queue has to end: the more
+/// owners have queues, the more of them apply config::QueueAdmissionFactor to
+/// what they are offered
+milliseconds queueingTimeAllowed(double Saturation, milliseconds Objective);
+
 /// @returns the run time on a target of the given speed
 milliseconds runTime(milliseconds Expected, double Speed);
 
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -231,6 +231,7 @@
     SchedulableCount += OwnedTarget.isSchedulable() ? 1 : 0;
   }
   const host_state HostState = makeHostState(State, Ctx.Now);
+  const milliseconds UrgentWait = HostState.QueueWaits.front();
   const milliseconds OldestUnacked = oldestUnackedAge(State, Ctx.Now);
   Ctx.log("load",
           {{"jobs", std::to_string(Metrics.JobsOpen)},
@@ -238,6 +239,7 @@
            {"running", std::to_string(Metrics.AttemptsRunning)},
            {"slots", std::to_string(HostState.Slots)},
            {"wait_ms", std::to_string(HostState.PredictedQueueWait.count())},
+           {"urgent_wait_ms", std::to_string(UrgentWait.count())},
            {"owned", std::to_string(Metrics.TargetsOwned)},
            {"usable", std::to_string(SchedulableCount)},
            {"listed", std::to_string(Metrics.TargetsListed)},
@@ -359,6 +361,9 @@
                "orphans_dropped",
                "targets_set_aside",
                "messages_dropped",
+               "refused_urgent",
+               "starts_owed",
+               "tasks_displaced",
                "pauses"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -3,6 +3,7 @@
 
 #include "core/pool/counters_p.h"
 #include "core/pool/crash_log_p.h"
+#include "core/pool/load/start_shares_p.h"
 #include "core/pool/owned_target_p.h"
 #include "core/pool/peer_link_p.h"
 #include "core/pool/placement_p.h"
@@ -45,6 +46,7 @@
     std::string Target; ///< empty: to be queued
     resource_vector RequiredResources;
     milliseconds RunTime{}; ///< for tasks to be queued
+    std::size_t Level = 0;  ///< of urgency
   };
   std::deque<reservation> Reservations;
 };
@@ -98,6 +100,7 @@
 struct owner_state {
   std::map<std::string, owned_target, std::less<>> OwnedTargets; ///< by target
   std::vector<queued_task> Queue; ///< sorted by urgency
+  start_shares StartShares;
   /// Recently cancelled attempts, so that an offer that arrives after its
   /// cancellation is refused.
   std::map<std::pair<host_ref, attempt_ref>, boot_time> Cancelled;
--- a/tests/unit/load_generator.cpp
+++ b/tests/unit/load_generator.cpp
@@ -101,17 +101,20 @@
     load_report::worth &OfRoute = Report.WorthByRoute[Job.Route];
     Report.Worth.Owed += Job.Worth;
     OfRoute.Owed += Job.Worth;
+    ++OfRoute.Submitted;
     const auto Response = Simulation.responseOf(Job.Request);
     if (Response == response_kind::JobDone) {
       const bool IsWithinObjective =
           Simulation.responseTime(Job.Request) <= Job.Objective;
       ++(IsWithinObjective ? Report.WithinObjective : Report.Late);
+      OfRoute.Late += IsWithinObjective ? 0 : 1;
       const double Earned =
           IsWithinObjective ? Job.Worth : LateWorthFraction * Job.Worth;
       Report.Worth.Earned += Earned;
       OfRoute.Earned += Earned;
     } else if (Response == response_kind::Overloaded) {
       ++Report.Refused;
+      ++OfRoute.Refused;
     } else {
       ++Report.Abandoned;
     }
--- a/tests/unit/load_generator.h
+++ b/tests/unit/load_generator.h
@@ -43,6 +43,9 @@
   struct worth {
     double Owed = 0;
     double Earned = 0;
+    std::size_t Submitted = 0;
+    std::size_t Late = 0;    ///< done past the objective
+    std::size_t Refused = 0; ///< as overloaded
     double fraction() const { return Owed > 0 ? Earned / Owed : 0; }
   };
   worth Worth; ///< of all jobs
