Compare amounts of work in a form that the linter reads

Cause: clang-tidy took the defaulted three-way comparison for a variable. Change: written out; a test reserves its vector. Result: lint of the changed files says nothing more, [load] passes.

--- a/src/core/pool/load/turn_away_cost.cpp
+++ b/src/core/pool/load/turn_away_cost.cpp
@@ -3,9 +3,15 @@
 #include "core/pool/placement_p.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tarragonbridge::pool {
 
+std::strong_ordering work_amount::operator<=>(const work_amount &Other) const {
+  return std::tie(AcceleratorTime, CpuTime, MemoryTime) <=>
+         std::tie(Other.AcceleratorTime, Other.CpuTime, Other.MemoryTime);
+}
+
 work_amount workOf(const resource_vector &Required, milliseconds RunTime) {
   return {Required.Accelerators * RunTime.count(),
           Required.CpuMilli * RunTime.count(),
--- a/src/core/pool/load/turn_away_cost_p.h
+++ b/src/core/pool/load/turn_away_cost_p.h
@@ -15,7 +15,8 @@
   std::int64_t CpuTime = 0;         ///< thousandths of a core, ms
   std::int64_t MemoryTime = 0;      ///< MB, ms
 
-  auto operator<=>(const work_amount &) const = default;
+  bool operator==(const work_amount &) const = default;
+  std::strong_ordering operator<=>(const work_amount &Other) const;
 };
 
 /// @param[in] RunTime at speed 1
--- a/tests/unit/pool_load_test.cpp
+++ b/tests/unit/pool_load_test.cpp
@@ -178,6 +178,7 @@
   double LastMean = 0;
   for (std::size_t Level = 0; Level < config::UrgencyLevels; ++Level) {
     std::vector<milliseconds> Times;
+    Times.reserve(Callers);
     for (int Caller = 0; Caller < Callers; ++Caller) {
       Times.push_back(retryAfter("j" + std::to_string(Caller), Level, Delay));
     }
