--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -254,9 +254,6 @@
 /// Added wait over the predicted one while all owners have queued tasks, by
 /// level of urgency: nothing overtakes the first one.
 constexpr std::array<double, UrgencyLevels> OvertakingFactors{0, 8, 12, 16};
-/// A refusal for lack of room tells of later jobs for this long: room changes
-/// with each task that ends.
-constexpr milliseconds RefusalMemoryTime{20};
 /// A queued task is kept if it is predicted to end within this fraction of the
 /// time left to its objective, or if it was offered to be queued.
 constexpr double QueueAdmissionFactor = 0.8;
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -105,7 +105,6 @@
   OrphansDropped,  ///< queued tasks whose coordinator timed out
   TargetsSetAside, ///< quarantined for failing tasks of several jobs
   MessagesDropped, ///< too many to their receiver were unacknowledged
-  RefusedUnplaced, ///< as overloaded, by a refusal just before
   RefusedUrgent,   ///< as overloaded, of the most urgent level
   StartsOwed,      ///< less urgent tasks started first by their share
   TasksDisplaced,  ///< from a full queue, by tasks that cost more to refuse
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -131,51 +131,9 @@
 }
 } // namespace
 
-namespace {
-room_demand demandOf(const pool_state &State, const open_job &Job,
-                     boot_time Now) {
-  milliseconds LongestRunTime{0};
-  for (const job_task &Task : Job.Tasks) {
-    LongestRunTime =
-        std::max(LongestRunTime, expectedRunTimeOf(State, Job, Task));
-  }
-  return {urgencyLevelOf(Job.Route.Priority), Job.Tasks.size(),
-          until(Job.ObjectiveDeadline, Now) - LongestRunTime};
-}
-
-/// Refuses a new job, while most owners have queues, if one that needs no more
-/// was refused just before. @returns whether it did
-bool refuseUnplaced(reducer_context &Ctx, const open_job &Job) {
-  const coordinator_state &Coordinator = Ctx.State.Coordinator;
-  if (Coordinator.Saturation <= config::OvertakingSaturation ||
-      Job.SubmittedAt != Ctx.Now) {
-    return false;
-  }
-  const room_demand Demand = demandOf(Ctx.State, Job, Ctx.Now);
-  const auto Wait = Coordinator.RecentRefusals.findWait(Demand, Ctx.Now);
-  if (!Wait) {
-    return false;
-  }
-  const std::string Id = Job.Id;
-  countOverloaded(Ctx, Job);
-  Ctx.count(counter::RefusedUnplaced);
-  Ctx.log("job_refused", {{"job", Id},
-                          {"reason", "overloaded"},
-                          {"predicted_wait_ms", millisecondsText(*Wait)},
-                          {"slack_ms", millisecondsText(Demand.Slack)},
-                          {"priority", std::to_string(Job.Route.Priority)}});
-  finishJob(Ctx, Id, response_kind::Overloaded,
-            retryAfter(Id, Demand.Level, *Wait - Demand.Slack));
-  return true;
-}
-} // namespace
-
 void placeJob(reducer_context &Ctx, open_job &Job) {
   pool_state &State = Ctx.State;
   const std::string Id = Job.Id;
-  if (refuseUnplaced(Ctx, Job)) {
-    return;
-  }
   const std::size_t Level = urgencyLevelOf(Job.Route.Priority);
   pool_view View = makePoolView(State, Level, Ctx.Now);
   const milliseconds Objective = until(Job.ObjectiveDeadline, Ctx.Now);
@@ -213,9 +171,6 @@
   const milliseconds Allowed =
       queueingTimeAllowed(State.Coordinator.Saturation, Objective);
   if (MustQueue && LatestEnd > Allowed) {
-    const room_demand Demand = demandOf(State, Job, Ctx.Now);
-    State.Coordinator.RecentRefusals.record(
-        Demand, Demand.Slack + LatestEnd - Allowed, Ctx.Now);
     countOverloaded(Ctx, Job);
     Ctx.log("job_refused", {{"job", Id},
                             {"reason", "overloaded"},
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -377,7 +377,6 @@
                "orphans_dropped",
                "targets_set_aside",
                "messages_dropped",
-               "refused_unplaced",
                "refused_urgent",
                "starts_owed",
                "tasks_displaced",
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -4,7 +4,6 @@
 #include "core/pool/counters_p.h"
 #include "core/pool/crash_log_p.h"
 #include "core/pool/evacuations_p.h"
-#include "core/pool/load/recent_refusals_p.h"
 #include "core/pool/load/start_shares_p.h"
 #include "core/pool/owned_target_p.h"
 #include "core/pool/peer_link_p.h"
@@ -179,7 +178,6 @@
   run_time_estimator RunTimeEstimator;
   /// Fraction of all slots whose owners had queued tasks, over the last second.
   double Saturation = 0;
-  recent_refusals RecentRefusals;
 };
 
 /// Which host should own each target, and the inputs of that assignment. Module
--- a/tests/unit/pool_load_test.cpp
+++ b/tests/unit/pool_load_test.cpp
@@ -1,7 +1,6 @@
 /// What is delayed or turned away when there is too little room.
 #include "core/pool/load/queue_order_p.h"
 #include "core/pool/load/queue_waits_p.h"
-#include "core/pool/load/recent_refusals_p.h"
 #include "core/pool/load/retry_time_p.h"
 
 #include <algorithm>
@@ -195,31 +194,3 @@
     LastMean = Mean;
   }
 }
-
-// Answers a crowd beyond the room: to place each job of it takes more processor
-// time than hosts have.
-TEST_CASE("a job is refused as one that needs no more was just before",
-          "[pool][load]") {
-  struct refusal_case {
-    std::string Name;
-    room_demand Demand;
-    milliseconds After;
-    bool IsRefused;
-  };
-  constexpr room_demand Refused{1, 4, 100ms}; // it would have waited 150 ms
-  const auto Case = GENERATE_COPY(values<refusal_case>({
-      {"the same again", Refused, 5ms, true},
-      {"larger and less urgent", {2, 8, 90ms}, 5ms, true},
-      {"more urgent", {0, 4, 100ms}, 5ms, false},
-      {"smaller", {1, 2, 100ms}, 5ms, false},
-      {"with time for that wait", {1, 4, 150ms}, 5ms, false},
-      {"with a little less", {1, 4, 149ms}, 5ms, true},
-      {"later", Refused, config::RefusalMemoryTime, false},
-  }));
-  INFO(Case.Name);
-  recent_refusals Refusals;
-  Refusals.record(Refused, 150ms, Now);
-  Refusals.record({1, 8, 100ms}, 150ms, Now); // tells of fewer
-  CHECK(Refusals.findWait(Case.Demand, Now + Case.After).has_value() ==
-        Case.IsRefused);
-}
