--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -253,7 +253,7 @@
 constexpr double OvertakingSaturation = 0.67;
 /// Added wait over the predicted one while all owners have queued tasks, by
 /// level of urgency: nothing overtakes the first one.
-constexpr std::array<double, UrgencyLevels> OvertakingFactors{0, 8, 12, 16};
+constexpr std::array<double, UrgencyLevels> OvertakingFactors{0, 16, 24, 32};
 /// A queued task is kept if it is predicted to end within this fraction of the
 /// time left to its objective, or if it was offered to be queued.
 constexpr double QueueAdmissionFactor = 0.8;
