Turn away by cost what a full queue can't hold; Retry-After by urgency

Cause: a full queue refused the newcomer whatever it was, and Retry-After knew nothing of who should come first. One typed cost (in time, level, latest start, work) decides the first, the level the second.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -231,6 +231,11 @@
 constexpr milliseconds RemoteRoundTrip{5};
 /// Multiple of the latency objective after which a response has no use.
 constexpr double ExpiryObjectiveFactor = 3;
+/// Levels of urgency that are told apart: priorities from the last one on share
+/// it.
+constexpr std::size_t UrgencyLevels = 4;
+/// Latest starts within a step count as equal; then less work goes first.
+constexpr milliseconds UrgencyStep{10};
 /// A job that must queue is refused if it would miss its objective should later
 /// jobs overtake. That isn't expected while no more than this fraction of all
 /// slots has owners with queued tasks.
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -104,6 +104,7 @@
   MessagesResent,
   OrphansDropped,  ///< queued tasks whose coordinator timed out
   TargetsSetAside, ///< quarantined for failing tasks of several jobs
+  TasksDisplaced,  ///< from a full queue, by tasks that cost more to refuse
   MessagesDropped, ///< too many to their receiver were unacknowledged
   Pauses,          ///< of this process, longer than config::PauseThreshold
   ReassignmentsRepeated, ///< to a coordinator, in a new session with it
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -3,6 +3,8 @@
 #include "core/pool/crashes_p.h"
 #include "core/pool/job_completion_p.h"
 #include "core/pool/job_offers_p.h"
+#include "core/pool/load/retry_time_p.h"
+#include "core/pool/load/turn_away_cost_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
@@ -174,7 +176,8 @@
                             {"objective_ms", millisecondsText(Objective)},
                             {"priority", std::to_string(Job.Route.Priority)}});
     finishJob(Ctx, Id, response_kind::Overloaded,
-              retryAfter(Id, LatestEnd - Objective));
+              retryAfter(Id, urgencyLevelOf(Job.Route.Priority),
+                         LatestEnd - Objective));
     return;
   }
   Job.PredictedEnd = CompletesIn;
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -2,10 +2,11 @@
 
 #include "core/pool/crashes_p.h"
 #include "core/pool/job_offers_p.h"
+#include "core/pool/load/retry_time_p.h"
+#include "core/pool/load/turn_away_cost_p.h"
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace tarragonbridge::pool {
 
@@ -151,15 +152,6 @@
   finishJob(Ctx, Id, Kind);
 }
 
-milliseconds retryAfter(const std::string &Id, milliseconds Delay) {
-  const milliseconds Spread(
-      XXH3_64bits(Id.data(), Id.size()) %
-      static_cast<std::uint64_t>(
-          (config::MaxRetryAfter - config::MinRetryAfter).count()));
-  return std::min(config::MinRetryAfter + Delay + Spread,
-                  config::MaxRetryAfter);
-}
-
 void abandonJob(reducer_context &Ctx, const std::string &Id,
                 std::string_view Reason) {
   const open_job &Job = Ctx.State.Coordinator.Jobs.find(Id)->second;
@@ -168,8 +160,9 @@
     return;
   }
   Ctx.count(counter::RefusedOverloaded);
-  finishJob(Ctx, Id, response_kind::Overloaded,
-            retryAfter(Id, milliseconds(0)));
+  finishJob(
+      Ctx, Id, response_kind::Overloaded,
+      retryAfter(Id, urgencyLevelOf(Job.Route.Priority), milliseconds(0)));
 }
 
 } // namespace tarragonbridge::pool
--- a/src/core/pool/job_completion_p.h
+++ b/src/core/pool/job_completion_p.h
@@ -25,9 +25,6 @@
 /// of its tasks can have run, else it fails.
 void abandonJob(reducer_context &Ctx, const std::string &Id,
                 std::string_view Reason);
-/// @returns after which delay the caller of a refused job may retry; the delays
-/// of different jobs are spread
-milliseconds retryAfter(const std::string &Id, milliseconds Delay);
 /// @returns the hosts that own tasks of a job and their numbers of tasks, as
 /// HOST:COUNT,...
 std::string describeOwners(const open_job &Job);
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -1,4 +1,5 @@
 #include "core/pool/crashes_p.h"
+#include "core/pool/load/displacement_p.h"
 #include "core/pool/owner_capacity_p.h"
 #include "core/pool/target_feedback_p.h"
 
@@ -213,6 +214,29 @@
   }
 }
 
+/// Queues a task. A full queue turns away what costs callers least, which may
+/// be this task.
+void acceptTask(reducer_context &Ctx, queued_task Task) {
+  owner_state &Owner = Ctx.State.Owner;
+  if (Owner.Queue.size() < config::MaxQueuedTasks) {
+    enqueue(Owner, std::move(Task));
+    return;
+  }
+  const auto Displaced = findDisplaced(
+      Owner.Queue, Task, fastestSpeed(Ctx.State, Ctx.Now), Ctx.Now);
+  if (!Displaced) {
+    refuseTasks(Ctx, Task.Coordinator, {Task.Attempt});
+    return;
+  }
+  const auto Position =
+      Owner.Queue.begin() + static_cast<std::ptrdiff_t>(*Displaced);
+  const queued_task Least = std::move(*Position);
+  Owner.Queue.erase(Position);
+  Ctx.count(counter::TasksDisplaced);
+  enqueue(Owner, std::move(Task));
+  refuseTasks(Ctx, Least.Coordinator, {Least.Attempt});
+}
+
 counter counterOf(attempt_outcome End) {
   switch (End) {
   case attempt_outcome::Done:
@@ -272,7 +296,6 @@
     Task.Attempt = {Offer.Job, Offered.Step, Offered.Task,
                     Offered.AttemptNumber};
     if (Ctx.State.IsShuttingDown || Owner.OwnedTargets.empty() ||
-        Owner.Queue.size() >= config::MaxQueuedTasks ||
         Owner.Cancelled.contains({From, Task.Attempt}) ||
         ownsOnly(Owner, Offered.AvoidTarget) || hasTask(Owner, Task.Attempt)) {
       Refused.push_back(std::move(Task.Attempt));
@@ -291,7 +314,7 @@
     Task.MayQueue = Offered.MayQueue;
     Task.RunsAlone = Offered.RunsAlone;
     Owner.MeanTaskResources.addSample(Offered.RequiredResources);
-    enqueue(Owner, std::move(Task));
+    acceptTask(Ctx, std::move(Task));
   }
   refuseTasks(Ctx, From, std::move(Refused));
 }
--- a/src/core/pool/owner_capacity.cpp
+++ b/src/core/pool/owner_capacity.cpp
@@ -126,6 +126,14 @@
   return Serving.empty() ? 1 : Sum / static_cast<double>(Serving.size());
 }
 
+double fastestSpeed(const pool_state &State, boot_time Now) {
+  double Fastest = config::MinSpeed;
+  for (const owned_target *OwnedTarget : servingTargets(State, Now)) {
+    Fastest = std::max(Fastest, speedOf(State, OwnedTarget->record().Id));
+  }
+  return Fastest;
+}
+
 std::optional<milliseconds> predictQueueWait(const pool_state &State,
                                              boot_time Now) {
   const std::uint32_t Slots = slotsOf(State, Now);
--- a/src/core/pool/owner_capacity_p.h
+++ b/src/core/pool/owner_capacity_p.h
@@ -9,6 +9,8 @@
 double speedOf(const pool_state &State, std::string_view Target);
 /// @returns the mean speed of the targets that get new attempts
 double meanSpeed(const pool_state &State, boot_time Now);
+/// @returns the speed of the fastest target that gets new attempts
+double fastestSpeed(const pool_state &State, boot_time Now);
 /// @returns the predicted wait of a task at the end of the queue, nothing while
 /// no target gets new attempts
 std::optional<milliseconds> predictQueueWait(const pool_state &State,
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -374,6 +374,7 @@
                "messages_resent",
                "orphans_dropped",
                "targets_set_aside",
+               "tasks_displaced",
                "messages_dropped",
                "pauses",
                "reassignments_repeated"};
