A cut-off request isn't said not to have run

Callers saw: a job was submitted, the connection broke, and its resubmission beside a crowd got 503, 408 or 413 with "not_run":true, although the first submission was running. A caller that believes it may order the work again under a new key. Cause: the refusals that the server writes before it has read a body had "not_run":true in their text. No key is known then, so nothing is proved. Fix: they say "not_run":false, as refusals of requests that can't be read already did: ask again with the same key. What docs/CALLERS.md promises is unchanged.

--- a/src/net/connection_guard.h
+++ b/src/net/connection_guard.h
@@ -15,9 +15,9 @@
 
 class connection_guard {
 public:
-  /// @param[in] RefusalBody of responses to requests that are cut off; it must
-  /// tell that they weren't run. Empty: they get none, as the same request may
-  /// have been sent before and run
+  /// @param[in] RefusalBody of responses to requests that are cut off. It must
+  /// not deny that the same request was sent before and has run. Empty: they
+  /// get none
   connection_guard(const upload_limits &Limits, std::string RefusalBody);
 
   /// @returns the limit of connections to be set for one listener or thread
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -124,9 +124,10 @@
 /// @returns the response to a request that is open when the server stops
 http_response stoppingResponse() { return {503, "", {}, "application/json"}; }
 
+/// The body isn't read, so the request may repeat a submission that has run.
 std::string refusalBody(std::string_view Reason, std::string_view Message) {
   return R"({"key":"","state":"refused","reason":")" + std::string(Reason) +
-         R"(","not_run":true,"step":"read body","peer":"caller","message":")" +
+         R"(","not_run":false,"step":"read body","peer":"caller","message":")" +
          std::string(Message) + R"("})";
 }
 } // namespace
