A resubmission that finds no room joins the job that runs

Callers saw: beside a crowd of large bodies the daemon answered the resubmission of a running job with 429 and "not_run":true. Cause: whether a body finds room was asked before anybody looked for its key, so a repeated submission was refused like a new one. Fix: the server passes such a request on, marked; it is decoded one at a time, without its payloads, and the dispatcher refuses it only where it would start a job. Other requests without room are refused as before. Unit tests of the server and of admission.

--- a/include/tarragonbridge/caller_events.h
+++ b/include/tarragonbridge/caller_events.h
@@ -17,6 +17,9 @@
   request_handle Request;
   job_request Job;
   bool Async = false;
+  /// In the memory of this host. If false, the tasks have no payloads, and the
+  /// job can only join an earlier submission.
+  bool HasRoom = true;
 };
 struct job_queried {
   request_handle Request;
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -53,4 +53,16 @@
   return std::nullopt;
 }
 
+std::optional<refusal> checkSubmission(const dispatcher_state &State,
+                                       const job_submitted &Event,
+                                       instant Now) {
+  auto Refusal = checkAdmission(State, Event.Job, Now);
+  if (!Refusal && !Event.HasRoom) {
+    Refusal =
+        refusal{Event.Job.Key, reason::QueueFull,    true,
+                "admit",       State.Init.Self.Host, "too many bytes of jobs"};
+  }
+  return Refusal;
+}
+
 } // namespace tarragonbridge
--- a/src/core/admission_p.h
+++ b/src/core/admission_p.h
@@ -13,4 +13,8 @@
 std::optional<refusal> checkAdmission(const dispatcher_state &State,
                                       const job_request &Job, instant Now);
 
+/// The same for a submission as it came: one without room is refused, too.
+std::optional<refusal> checkSubmission(const dispatcher_state &State,
+                                       const job_submitted &Event, instant Now);
+
 } // namespace tarragonbridge
--- a/src/core/home_questions.cpp
+++ b/src/core/home_questions.cpp
@@ -235,7 +235,7 @@
   Question.Home = Home;
   Question.Callers.push_back(Caller);
   Question.Ask = {claim_mode::Check, Job.Key, Job.Digest, Job.SubmittedAt, 0};
-  if (auto Refusal = checkAdmission(State, Job, Now)) {
+  if (auto Refusal = checkSubmission(State, Event, Now)) {
     Question.Refusal = std::move(*Refusal);
     Question.Ask.Number = State.Peers.Asks.NextNumber++;
   } else {
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -142,7 +142,7 @@
     onClaimedElsewhere(State, *Claim, Event, Now, Effects);
     return;
   }
-  if (auto Refusal = checkAdmission(State, Event.Job, Now)) {
+  if (auto Refusal = checkSubmission(State, Event, Now)) {
     Effects.emplace_back(answerRefusal(State, Event.Request, *Refusal));
     return;
   }
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -17,13 +17,23 @@
       error{"read request", Request.Peer, Reason, std::move(Message)});
 }
 
+/// Keeps what tells whether the job was submitted before.
+void dropPayloads(job_request &Job) {
+  for (task_request &Task : Job.Tasks) {
+    std::string().swap(Task.Payload);
+  }
+}
+
 result<event> parseSubmission(request_handle Handle,
                               const http_request &Request) {
   BOOST_LEAF_AUTO(
       Job, parseJobRequest(Request.Body, Request.header("idempotency-key")));
+  if (!Request.HasRoom) {
+    dropPayloads(Job);
+  }
   const bool Async =
       Request.header("prefer").find("respond-async") != std::string::npos;
-  return event(job_submitted{Handle, std::move(Job), Async});
+  return event(job_submitted{Handle, std::move(Job), Async, Request.HasRoom});
 }
 
 result<event> parseQuery(request_handle Handle, const http_request &Request,
@@ -41,6 +51,10 @@
 }
 } // namespace
 
+bool isSubmission(const http_request &Request) {
+  return Request.Path == JobsPath && Request.Method == "POST";
+}
+
 result<event> parseCallerRequest(request_handle Handle,
                                  const http_request &Request) {
   const std::string_view Path = Request.Path;
@@ -50,7 +64,7 @@
   if (Path == "/v1/status" && Request.Method == "GET") {
     return event(status_requested{Handle});
   }
-  if (Path == JobsPath && Request.Method == "POST") {
+  if (isSubmission(Request)) {
     return parseSubmission(Handle, Request);
   }
   if (!Path.starts_with(JobPrefix)) {
@@ -80,10 +94,14 @@
   Body["step"] = Error.Step;
   Body["peer"] = Error.Peer;
   Body["message"] = Error.Message;
-  return {describe(Error.Reason).HttpStatus,
-          writeJson(Body),
-          {},
-          "application/json"};
+  http_response Response{describe(Error.Reason).HttpStatus,
+                         writeJson(Body),
+                         {},
+                         "application/json"};
+  if (Error.Reason == reason::QueueFull) {
+    Response.Headers.emplace_back("Retry-After", "1");
+  }
+  return Response;
 }
 
 std::string formatMetrics(const dispatcher_figures &Figures,
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -15,6 +15,9 @@
 result<event> parseCallerRequest(request_handle Handle,
                                  const http_request &Request);
 
+/// @returns whether a request submits a job
+bool isSubmission(const http_request &Request);
+
 /// @returns the answer to a request refused before it reached the dispatcher
 http_response refusalResponse(const error &Error);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -65,6 +65,7 @@
   http_server_init Init;
   Init.Guard = std::move(Guard);
   Init.Listen = Config.Listen;
+  Init.HandlesWithoutRoom = true; // it may repeat a job that runs
   return Init;
 }
 } // namespace
@@ -151,6 +152,12 @@
   if (answerLocally(Handle, Request)) {
     return;
   }
+  if (!Request.HasRoom && !isSubmission(Request)) {
+    Server.respond(Handle,
+                   refusalResponse({"read body", Request.Peer,
+                                    reason::QueueFull, "too many bytes"}));
+    return;
+  }
   if (operator_api::takes(Request)) {
     Operators->onRequest(Handle, std::move(Request));
     return;
@@ -162,7 +169,7 @@
     return;
   }
   std::unique_lock<std::mutex> ParseLock(ParseMutex, std::defer_lock);
-  if (Request.Body.size() > LargeBodyBytes) {
+  if (Request.Body.size() > LargeBodyBytes || !Request.HasRoom) {
     ParseLock.lock();
   }
   tryOr(
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -204,7 +204,9 @@
   if (Exchange.IsRefused || !Init.Guard->complete(Exchange.Guarded)) {
     return MHD_NO;
   }
-  if (!Init.Guard->hold(Exchange.Guarded, Exchange.Request.Body.capacity())) {
+  Exchange.Request.HasRoom =
+      Init.Guard->hold(Exchange.Guarded, Exchange.Request.Body.capacity());
+  if (!Exchange.Request.HasRoom && !Init.HandlesWithoutRoom) {
     std::string().swap(Exchange.Request.Body);
     Init.Guard->answer(Exchange.Guarded, 0, bootNow());
     return queueResponse(
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -24,6 +24,7 @@
   std::map<std::string, std::string, std::less<>> Query;
   /// Headers, names in lower case.
   std::map<std::string, std::string, std::less<>> Headers;
+  bool HasRoom = true; ///< in the memory for jobs, see http_server_init
 
   /// @returns a header, empty if absent
   std::string header(std::string_view Name) const;
@@ -43,6 +44,9 @@
   unsigned Threads = config::ServerThreads;
   std::size_t MaxBodyBytes = config::MaxBodyBytes;
   std::chrono::seconds IdleTimeout = config::ServerIdleTimeout;
+  /// Whether a request that finds no room in the memory for jobs is handled,
+  /// too. Otherwise the server refuses it.
+  bool HandlesWithoutRoom = false;
   /// Shared by all servers of the process; one of its own if there is none.
   std::shared_ptr<connection_guard> Guard{};
 };
--- a/tests/integration/lib.sh
+++ b/tests/integration/lib.sh
@@ -7,6 +7,7 @@
 pids=()
 cleanup() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done # those that stand still
   wait 2>/dev/null || true
   rm -rf "$work"
 }
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -82,3 +82,21 @@
   CHECK((!Case.IsLate || refusedFor(reason::TooLate)));
   CHECK(submit(3, "b", 1, Long, milliseconds(600)) == 202);
 }
+
+// A refusal of its resubmission would say that the job hasn't run.
+TEST_CASE_METHOD(admission_fixture,
+                 "a submission without room joins the job that runs") {
+  job_submitted First = job(1, "a", 1);
+  apply(First);
+  REQUIRE(Answers.back().Status == 202);
+  First.HasRoom = false;
+  First.Job.Tasks.front().Payload.clear();
+  apply(First);
+  CHECK(Answers.back().Status == 202);
+  job_submitted Second = job(2, "a", 1);
+  Second.HasRoom = false;
+  apply(Second);
+  CHECK(Answers.back().Status == 429);
+  CHECK(refusedFor(reason::QueueFull));
+  CHECK(countStarted(2) == 0);
+}
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -140,3 +140,39 @@
   http_server Second(Init);
   CHECK(Start(Second) == "listen " + Init.Listen);
 }
+
+// Whether it repeats a job that runs is known once its key is.
+TEST_CASE("a server may handle requests that find no room") {
+  const bool HandlesWithoutRoom = GENERATE(true, false);
+  CAPTURE(HandlesWithoutRoom);
+  constexpr std::size_t BodyBytes = 60'000;
+  http_server_init Init;
+  Init.Listen = ownAddress(19476);
+  Init.Guard = makeServerGuard({100, 1'000'000, 90'000});
+  Init.HandlesWithoutRoom = HandlesWithoutRoom;
+  http_server Server(Init);
+  std::atomic<int> WithRoom{0};
+  std::atomic<int> WithoutRoom{0};
+  startServer(Server, [&](request_handle Handle, http_request &&Request) {
+    ++(Request.HasRoom ? WithRoom : WithoutRoom);
+    if (!Request.HasRoom) {
+      Server.respond(Handle, {200, std::to_string(Request.Body.size()), {}});
+    }
+  });
+  const std::string Request = "POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"
+                              "Connection: close\r\nContent-Length: " +
+                              std::to_string(BodyBytes) + "\r\n\r\n" +
+                              std::string(BodyBytes, 'x');
+  const raw_client First(Init.Listen); // held, as it gets no response
+  First.send(Request);
+  while (WithRoom == 0) {
+    std::this_thread::yield();
+  }
+  const raw_client Second(Init.Listen);
+  Second.send(Request);
+  const std::string Response = Second.receiveAll();
+  CHECK_THAT(Response, Catch::StartsWith(HandlesWithoutRoom ? "HTTP/1.1 200"
+                                                            : "HTTP/1.1 429"));
+  CHECK(WithRoom == 1);
+  CHECK(WithoutRoom == (HandlesWithoutRoom ? 1 : 0));
+}
