Requests that wait for one job leave connections to others

Callers saw: while 700 clients waited for the end of one running job, an ordinary request wasn't answered at all; each wait may last ten minutes. Cause: a request that is whole is never closed for room, and nothing bounded how many wait for jobs that were submitted before. A wait also set a timer of its own, which stayed when its client left. Fix: the dispatcher lets as many wait as half of the connections for callers; past that it tells the one that has waited longest that its job runs, as docs/CALLERS.md allows at any time. A job has one timer for its waits. First submissions wait as before. Unit tests of the order and of the ends of waits.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -21,6 +21,9 @@
 constexpr milliseconds DefaultTimeLimit{30'000};
 constexpr milliseconds MaxTimeLimit{600'000};
 constexpr milliseconds DefaultExpectedRunTime{200};
+/// Requests that wait for jobs which were submitted before, on a host of
+/// DefaultMemoryMb.
+constexpr std::size_t MaxWaiters = 4'000;
 
 // Clocks and kept answers.
 constexpr milliseconds MaxClockSkew{2'000};
--- a/include/tarragonbridge/dispatcher.h
+++ b/include/tarragonbridge/dispatcher.h
@@ -1,6 +1,7 @@
 /// The dispatcher: one reducer over all events, with effects as data.
 #pragma once
 
+#include "tarragonbridge/config.h"
 #include "tarragonbridge/event.h"
 #include "tarragonbridge/placement.h"
 #include "tarragonbridge/reason.h"
@@ -11,6 +12,12 @@
 
 namespace tarragonbridge {
 
+/// What a dispatcher may hold.
+struct dispatcher_limits {
+  /// Requests that wait for jobs which were submitted before.
+  std::size_t MaxWaiters = config::MaxWaiters;
+};
+
 /// What a dispatcher needs to start.
 struct dispatcher_init {
   session_home Self;            ///< own failure domain, host and incarnation
@@ -18,6 +25,7 @@
   std::uint64_t RandomSeed = 1; ///< seed of the generator held in the state
   claim_rules Rules{};          ///< all on but in tests
   placement_kind Placement = placement_kind::Expected;
+  dispatcher_limits Limits{};
 };
 
 /// State of a dispatcher; its fields are internal.
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -10,6 +10,7 @@
 #include "core/json_text.h"
 #include "core/remote_answers_p.h"
 #include "core/teams_p.h"
+#include "core/waiters_p.h"
 #include "tarragonbridge/config.h"
 
 #include <algorithm>
@@ -81,16 +82,15 @@
         {Key, reason::KeyReused, false, "submit", State.Init.Self.Host, ""}));
     return;
   }
-  if (!answerEnded(State, Key, Event.Request, Effects)) {
-    answerOrHold(State.Jobs.at(Key), Event.Request, Event.Async, Effects);
+  if (answerEnded(State, Key, Event.Request, Effects)) {
+    return;
   }
-}
-
-void answerWaiters(job_record &Job, effects &Effects) {
-  for (const waiter &Waiter : Job.Waiters) {
-    Effects.emplace_back(answerJob(Job, Waiter.Request));
+  job_record &Job = State.Jobs.at(Key);
+  if (Event.Async || Job.Phase != job_phase::Running) {
+    answerOrHold(Job, Event.Request, Event.Async, Effects);
+    return;
   }
-  Job.Waiters.clear();
+  addWaiter(State, Job, {Event.Request, boot_time::max()}, Effects);
 }
 
 void endJob(dispatcher_state &State, job_record &Job, job_phase Phase,
@@ -195,8 +195,7 @@
     Effects.emplace_back(answerJob(Job, Event.Request));
     return;
   }
-  Job.Waiters.push_back({Event.Request, Until});
-  setTimer(State, Until, timer_kind::Wait, Job.Key);
+  addWaiter(State, Job, {Event.Request, Until}, Effects);
 }
 
 void onJobCancelled(dispatcher_state &State, const job_cancelled &Event,
@@ -268,22 +267,4 @@
           Now, Effects);
 }
 
-void onWaitOver(dispatcher_state &State, const std::string &Key, instant Now,
-                effects &Effects) {
-  const auto Found = State.Jobs.find(Key);
-  if (Found == State.Jobs.end()) {
-    return;
-  }
-  job_record &Job = Found->second;
-  const auto IsOver = [&](const waiter &Waiter) {
-    return Waiter.Until <= Now.Boot;
-  };
-  for (const waiter &Waiter : Job.Waiters) {
-    if (IsOver(Waiter)) {
-      Effects.emplace_back(answerJob(Job, Waiter.Request));
-    }
-  }
-  std::erase_if(Job.Waiters, IsOver);
-}
-
 } // namespace tarragonbridge
--- a/src/core/jobs_p.h
+++ b/src/core/jobs_p.h
@@ -32,7 +32,5 @@
 
 void onDeadline(dispatcher_state &State, const std::string &Key, instant Now,
                 effects &Effects);
-void onWaitOver(dispatcher_state &State, const std::string &Key, instant Now,
-                effects &Effects);
 
 } // namespace tarragonbridge
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -14,6 +14,7 @@
 #include "core/state_p.h"
 #include "core/status_p.h"
 #include "core/teams_p.h"
+#include "core/waiters_p.h"
 
 namespace tarragonbridge {
 
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -64,6 +64,12 @@
   boot_time Until;
 };
 
+/// A request that waits for a job which was submitted before.
+struct waiting_request {
+  std::string Key;
+  request_handle Request;
+};
+
 struct job_record {
   std::string Key;
   std::string Team;
@@ -79,6 +85,7 @@
   std::size_t Unsettled = 0;
   job_failure Failure;
   std::vector<waiter> Waiters;
+  boot_time WaitTimerAt = boot_time::max(); ///< the next one that is set
 };
 
 /// What an attempt holds of its team's limits and service.
@@ -176,6 +183,8 @@
   std::uint64_t NextSession = 1;
   std::unordered_map<std::string, job_record> Jobs;
   std::vector<std::string> EndedJobs; ///< during this event
+  /// The longest first; some may have been answered.
+  std::deque<waiting_request> Waiting;
   answer_cache Answers{{config::MaxKeptAnswerBytes,
                         config::AnswerRetention + 2 * config::MaxClockSkew}};
   std::map<std::string, target_record, std::less<>> Targets;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -34,15 +34,6 @@
   return Response;
 }
 
-dispatcher_init makeInit(const daemon_config &Config) {
-  dispatcher_init Init;
-  Init.Self = {Config.FailureDomain, Config.Host, randomNumber()};
-  Init.Address = Config.Listen;
-  Init.RandomSeed = randomNumber();
-  Init.Placement = Config.Placement;
-  return Init;
-}
-
 std::size_t descriptorsOf(const daemon_config &Config) {
   rlimit Limit{};
   const bool IsKnown = getrlimit(RLIMIT_NOFILE, &Limit) == 0;
@@ -60,6 +51,17 @@
   return Limits;
 }
 
+dispatcher_init makeInit(const daemon_config &Config) {
+  dispatcher_init Init;
+  Init.Self = {Config.FailureDomain, Config.Host, randomNumber()};
+  Init.Address = Config.Listen;
+  Init.RandomSeed = randomNumber();
+  Init.Placement = Config.Placement;
+  // The other connections are for requests that are answered at once.
+  Init.Limits.MaxWaiters = limitsOf(Config).Callers.MaxConnections / 2;
+  return Init;
+}
+
 http_server_init makeServerInit(const daemon_config &Config,
                                 std::shared_ptr<connection_guard> Guard) {
   http_server_init Init;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -100,3 +100,61 @@
   CHECK(refusedFor(reason::QueueFull));
   CHECK(countStarted(2) == 0);
 }
+
+namespace {
+struct waiting_fixture : dispatcher_fixture {
+  static constexpr std::uint64_t Waiters = 20;
+
+  waiting_fixture() {
+    dispatcher_init Init{{"curepipe", "cp-1", 7}, "", 1};
+    Init.Limits.MaxWaiters = 5;
+    State = makeDispatcher(Init);
+    loadTeams({{"a", {}}});
+    listTargets(1, 4, Small);
+    apply(job(1, "a", 1));
+    Answers.clear();
+  }
+
+  std::size_t countRunning() const {
+    return std::count_if(
+        Answers.begin(), Answers.end(), [](const answer_request &Answer) {
+          return Answer.Body.find(R"("state":"running")") != std::string::npos;
+        });
+  }
+};
+} // namespace
+
+// Guards against a crowd that waits for one job: its connections stay open as
+// long as it likes, and there is none left for others.
+TEST_CASE_METHOD(waiting_fixture, "few requests wait for jobs at a time") {
+  const bool IsQuery = GENERATE(true, false);
+  CAPTURE(IsQuery);
+  for (std::uint64_t Number = 1; Number <= Waiters; ++Number) {
+    job_submitted Again = job(1, "a", 1);
+    Again.Async = false;
+    Again.Request = request_handle{Number};
+    if (IsQuery) {
+      apply(job_queried{Again.Request, keyOf(1), milliseconds(600'000)});
+    } else {
+      apply(Again);
+    }
+  }
+  CHECK(countRunning() == Waiters - 5);
+  CHECK(Answers.front().Request == request_handle{1}); // the longest first
+  finish(Started.front());
+  CHECK(Answers.size() == Waiters);
+  CHECK(countRunning() == Waiters - 5);
+}
+
+// Guards against timers without bound: a query that is gone leaves its timer.
+TEST_CASE_METHOD(waiting_fixture, "each wait ends when it is over") {
+  apply(job_queried{request_handle{1}, keyOf(1), milliseconds(3'000)});
+  apply(job_queried{request_handle{2}, keyOf(1), milliseconds(1'000)});
+  apply(job_queried{request_handle{3}, keyOf(1), milliseconds(2'000)});
+  for (const std::uint64_t Number : {2U, 3U, 1U}) {
+    advance(milliseconds(1'100));
+    REQUIRE_FALSE(Answers.empty());
+    CHECK(Answers.back().Request == request_handle{Number});
+  }
+  CHECK(Answers.size() == 3);
+}
