Clients that connect without pause leave an ordinary one its moment

Callers saw: beside 700 clients that connect, send part of a request's head and connect again, an ordinary request at the daemon was never answered. Cause: of connections without progress for less than a second the one that came last was closed first. With newcomers all the time that is the ordinary one, which is closed before its request is read. Fix: of connections that have sent no request yet the first that came goes first, so that each has the same short time for it. Unfinished bodies still go the last first, and after these. A table of unit tests.

--- a/src/base/upload_budget.cpp
+++ b/src/base/upload_budget.cpp
@@ -36,7 +36,8 @@
 constexpr int RankStalled = 0; ///< the longest without progress first
 constexpr int RankIdle = 1;    ///< between requests, the longest first
 constexpr int RankSlow = 2;    ///< began a while ago, the longest ago first
-constexpr int RankNewest = 3;  ///< those that came last first
+constexpr int RankNew = 3;     ///< no request yet, the longest ago first
+constexpr int RankNewest = 4;  ///< those that came last first
 
 std::size_t excess(std::size_t Bytes) {
   return Bytes > SmallBytes ? Bytes - SmallBytes : 0;
@@ -270,10 +271,17 @@
   if (Candidate.Rank == RankStalled && Connection.Phase == phase::Waiting &&
       Connection.HasServed) {
     Candidate.Rank = RankIdle;
-  } else if (Candidate.Rank == RankNewest &&
-             isStalled(Connection.StartedAt, Now)) {
-    Candidate.Rank = RankSlow;
-    Candidate.Order = Connection.StartedAt.time_since_epoch();
+    return Candidate;
+  }
+  if (Candidate.Rank != RankNewest) {
+    return Candidate;
+  }
+  if (Connection.Phase == phase::Waiting) {
+    // An ordinary client sends its request at once, so those that came before
+    // it have had their time.
+    Candidate = {Where, RankNew, Connection.StartedAt.time_since_epoch()};
+  } else if (isStalled(Connection.StartedAt, Now)) {
+    Candidate = {Where, RankSlow, Connection.StartedAt.time_since_epoch()};
   }
   return Candidate;
 }
--- a/tests/unit/upload_budget_test.cpp
+++ b/tests/unit/upload_budget_test.cpp
@@ -163,3 +163,38 @@
         Case.Descriptors);
   CHECK(Both.Internal.MaxUnfinishedBytes >= 256 * Kib);
 }
+
+// Guards against clients that connect again without pause: the newest
+// connection would always be one that has had no time to send its request.
+TEST_CASE("of connections without a request the first that came goes first") {
+  struct newcomers_case {
+    std::string Name;
+    std::size_t WithRequest; ///< the first ones
+    bool HasServed;          ///< requests of the others, which wait for more
+    std::size_t Gone;
+  };
+  const auto Case = GENERATE(values<newcomers_case>({
+      {"no one has sent a request", 0, false, 0},
+      {"the others were served", 0, true, 0},
+      {"some are sending theirs", 2, false, 2},
+      {"all others are sending theirs", 4, false, 4},
+  }));
+  CAPTURE(Case.Name);
+  upload_budget Budget(Limits);
+  const boot_time Start{1h};
+  std::vector<connection_handle> Handles;
+  for (std::size_t Index = 0; Index < 5; ++Index) {
+    const boot_time At = Start + milliseconds(Index);
+    Handles.push_back(Budget.open(At));
+    if (Index < Case.WithRequest) {
+      Budget.beginRequest(Handles.back(), At);
+    } else if (Case.HasServed && Index < 4) {
+      Budget.beginRequest(Handles.back(), At);
+      CHECK(Budget.complete(Handles.back()));
+      Budget.finish(Handles.back(), At);
+    }
+  }
+  const auto Evictions = Budget.evict(Start + 10ms);
+  REQUIRE(Evictions.size() == 1);
+  CHECK(Evictions.front().Connection == Handles.at(Case.Gone));
+}
