The largest body of the daemon follows its memory

Cause: the limit of 8 MiB didn't depend on the memory, and a body takes some four times its size while it is decoded. Fix: a sixteenth of the memory, 8 MiB at the most: from 128 MB on, so also by default, it is as it was.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -15,6 +15,9 @@
 // Requests of callers.
 constexpr std::size_t MaxTasksPerJob = 1000;
 constexpr std::size_t MaxBodyBytes = 8U << 20U;
+/// A body has at most the memory of the process divided by this: decoded, it
+/// takes several times its size.
+constexpr std::size_t BodyMemoryDivisor = 16;
 constexpr std::size_t MaxKeyBytes = 128;
 constexpr std::size_t MaxJsonDepth = 64;
 constexpr std::size_t MaxJsonValues = 500'000; ///< of a document
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -43,9 +43,13 @@
   return std::min({Wanted, Allowed, MaxDescriptors});
 }
 
+std::size_t memoryOf(const daemon_config &Config) {
+  return std::size_t{Config.MemoryMb} << 20U;
+}
+
 process_upload_limits limitsOf(const daemon_config &Config) {
-  process_upload_limits Limits = makeUploadLimits(
-      std::size_t{Config.MemoryMb} << 20U, descriptorsOf(Config));
+  process_upload_limits Limits =
+      makeUploadLimits(memoryOf(Config), descriptorsOf(Config));
   Limits.Callers.MaxUploadTime = config::MaxUploadTime;
   Limits.Internal.MaxUploadTime = config::MaxUploadTime;
   return Limits;
@@ -67,6 +71,8 @@
   http_server_init Init;
   Init.Guard = std::move(Guard);
   Init.Listen = Config.Listen;
+  Init.MaxBodyBytes = std::min(config::MaxBodyBytes,
+                               memoryOf(Config) / config::BodyMemoryDivisor);
   Init.HandlesWithoutRoom = true; // it may repeat a job that runs
   return Init;
 }
@@ -76,8 +82,7 @@
     : Init(makeInit(Config)),
       CallerGuard(makeServerGuard(limitsOf(Config).Callers)),
       PeerGuard(makeServerGuard(limitsOf(Config).Internal)),
-      MaxSeparators((std::size_t{Config.MemoryMb} << 20U) /
-                    MemoryBytesPerValue),
+      MaxSeparators(memoryOf(Config) / MemoryBytesPerValue),
       Server(makeServerInit(Config, CallerGuard)),
       Loop(makeDispatcher(Init),
            [this](effect &&Effect) { carryOut(std::move(Effect)); }),
--- a/tools/crowd/forms.cpp
+++ b/tools/crowd/forms.cpp
@@ -182,8 +182,7 @@
       {"queries", "", "GET " + Path + Line + "\r\n", 400, ""},
       {"waits", "GET " + Path + Line + "\r\n", "", 0, ""},
       {"kept_jobs", "",
-       wholeRequest(Post + "Prefer: respond-async\r\n",
-                    keptJob(KeptTextBytes)),
+       wholeRequest(Post + "Prefer: respond-async\r\n", keptJob(KeptTextBytes)),
        10, ""},
   };
   for (form &Legal : makeLegalForms(Post, Chunked, !Target.Key.empty())) {
