The daemon takes a large body from a slow caller

Callers saw: a job of 8.3 MB, the largest, sent alone in 64 pieces over 19 s, got 408. Cause: a body had 10 s, so the largest one needed a path of 7 Mbit/s. Fix: 60 s, for 1.2 Mbit/s. Crowds that drip don't depend on it: when connections are short, those that have been sending for a second go first. Test: calm_daemon_legal_slow, 128 MB: on 408, now 200 and complete, 39,924 KiB. Beside it the largest job whole and in chunks of one byte, at a pool host of 120 MB, the least of any site, also slowly: these held before.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -87,7 +87,8 @@
 constexpr unsigned MaxCallerConnections = 4'000; ///< of a server by itself
 constexpr unsigned ServerThreads = 2;
 constexpr seconds ServerIdleTimeout{30};
-constexpr milliseconds MaxUploadTime{10'000};
+/// From the headers of a request to its end: 8 MiB at 1.2 Mbit/s.
+constexpr milliseconds MaxUploadTime{60'000};
 constexpr milliseconds ConnectTimeout{1'000};
 constexpr long MaxConnectionsPerTarget = 20;
 constexpr long ControlConnectionsPerTarget = 2; ///< for renewals and stops
