Datagrams under names that are too long are rejected

Seen: 700 strangers that send datagrams to the port of a pool host's peers, each under a name of its own of 60,000 bytes, took a host of 24 MB to 536,312 KiB, with failure domains as long to 287,924 KiB. Cause: a host is kept for 5 s under whatever name it tells. Fix: names and failure domains of over 256 bytes make a datagram malformed, which is counted (datagrams_refused_total).

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -9,6 +9,9 @@
 
 using std::chrono::milliseconds;
 
+/// Of a process that isn't told how much memory it may use.
+constexpr std::size_t DefaultMemoryBytes = std::size_t{120} << 20U;
+
 // Requests of callers.
 constexpr std::size_t MaxTasksPerJob = 1'000;
 constexpr std::size_t MaxSpecificationBytes = 4'000;
@@ -190,6 +193,11 @@
 /// Retransmission timeout of a message; doubled up to the maximum.
 constexpr milliseconds MinRetransmitTimeout{20};
 constexpr milliseconds MaxRetransmitTimeout{320};
+/// Of the name and of the failure domain of a datagram's sender.
+constexpr std::size_t MaxHostNameBytes = 256;
+/// Numbers of messages past those that were all received, in which others are
+/// accepted before them.
+constexpr std::uint64_t ReceiveWindow = 8'000;
 /// Estimated size of a datagram's messages; only a single one may be larger.
 constexpr std::size_t MaxDatagramBytes = 32U << 10U;
 /// Of a datagram: the most that UDP over IPv4 carries.
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "tarragonbridge/pool/peer_messages.h"
 
+#include "tarragonbridge/pool/config.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -318,6 +320,14 @@
 } // namespace
 
 namespace {
+/// Decodes a name that is kept for as long as its host is known.
+std::string decodeKeptName(const value &Node) {
+  if (Node.as_string().size() > config::MaxHostNameBytes) {
+    throw std::length_error("name too long");
+  }
+  return decodeText(Node);
+}
+
 /// Parses JSON into values that are allocated from the given memory.
 value parse(std::string_view Text,
             boost::json::monotonic_resource &ParseMemory) {
@@ -366,8 +376,9 @@
   try {
     const value Root = parse(Bytes.substr(0, HeadSize), Memory);
     datagram Datagram;
-    Datagram.From = decodeHost(at(Root, 0));
-    Datagram.FailureDomain = decodeText(at(Root, 1));
+    Datagram.From.Name = decodeKeptName(at(at(Root, 0), 0));
+    Datagram.From.Incarnation = decodeUint64(at(at(Root, 0), 1));
+    Datagram.FailureDomain = decodeKeptName(at(Root, 1));
     Datagram.ReceiverIncarnation = decodeUint64(at(Root, 2));
     Datagram.StateNumber = decodeUint64(at(Root, 3));
     if (!StateText.empty()) {
