A link keeps few numbers of messages that came early

Seen in a unit test only: a peer that leaves out one message and sends ever later ones makes this host keep each later number, without bound. Cause: numbers that came before those in front of them are kept until these come; nothing bounded them. Fix: numbers more than 8,000 past those that were all received aren't accepted. They aren't acknowledged, so an honest peer sends them again; it has at most 4,000 unacknowledged messages beside cancellations. Test: without the window 2 of its 4 checks failed.

--- a/src/core/pool/peer_link.cpp
+++ b/src/core/pool/peer_link.cpp
@@ -146,6 +146,9 @@
 
 bool peer_link::accept(std::uint64_t Number) {
   IsAckPending = true;
+  if (Number > ReceivedUpTo + config::ReceiveWindow) {
+    return false; // sent again until those before it were received
+  }
   if (Number <= ReceivedUpTo || !ReceivedOutOfOrder.insert(Number).second) {
     return false;
   }
--- a/tests/unit/pool_limits_test.cpp
+++ b/tests/unit/pool_limits_test.cpp
@@ -1,4 +1,5 @@
 /// What a pool host holds for strangers and for clients that don't behave.
+#include "core/pool/peer_link_p.h"
 #include "pool_simulation.h"
 
 #include <catch2/catch.hpp>
@@ -16,3 +17,13 @@
   Sent.FailureDomain = IsHost ? "east" : std::string(Bytes, 'd');
   CHECK(decodeDatagram(encodeDatagram(Sent, "")).has_value() == (Bytes == 256));
 }
+
+// Guards against a peer that leaves out messages: each number past the missing
+// one is kept.
+TEST_CASE("a link keeps few numbers of messages that came early", "[pool]") {
+  peer_link Link(1);
+  CHECK_FALSE(Link.accept(config::ReceiveWindow + 1));
+  CHECK(Link.accept(config::ReceiveWindow));
+  CHECK(Link.accept(1));
+  CHECK(Link.accept(config::ReceiveWindow + 1)); // sent again
+}
