Few hosts that no list shows are known at a time

Seen: each new name in a datagram adds a peer for 5 s, and each event of a pool host goes through all peers. Cause: nothing bounded the hosts that the store doesn't list. Past that the one that came first of those that have confirmed no state goes; if all have, the new one is ignored until a list shows it. Listed hosts are never turned away. Counter strangers_dropped_total, gauge peers_known.

--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -1,6 +1,7 @@
 /// A pool host: a pure reducer that turns events into effects.
 #pragma once
 
+#include "tarragonbridge/pool/config.h"
 #include "tarragonbridge/pool/events.h"
 
 #include <array>
@@ -27,6 +28,21 @@
   bool HonourEvacuations = true;
 };
 
+/// What a pool host may hold.
+struct pool_limits {
+  /// Records of ended jobs, and of cancellations of jobs that aren't here.
+  std::size_t MaxEndedJobs = 0;
+  std::size_t MaxCancelledJobs = 0;
+  /// Messages to peers that are unacknowledged while cancellations of jobs that
+  /// aren't here are passed on.
+  std::size_t MaxUnackedMessages = 0;
+  /// Peers that no list of hosts has shown.
+  std::size_t MaxUnlistedPeers = 0;
+};
+
+/// Derives the limits of a pool host from the memory of its process.
+pool_limits makePoolLimits(std::size_t MemoryBytes);
+
 struct pool_init {
   std::string Name;
   std::string FailureDomain;
@@ -34,6 +50,7 @@
   std::uint64_t RandomSeed = 1;
   milliseconds MaxLeaseTime{1'000}; ///< longest that targets grant
   ownership_rules Rules{};          ///< all on except in tests
+  pool_limits Limits = makePoolLimits(config::DefaultMemoryBytes);
 };
 
 /// State of a pool host; its fields are internal.
@@ -108,6 +125,8 @@
   MessagesDropped, ///< too many to their receiver were unacknowledged
   Pauses,          ///< of this process, longer than config::PauseThreshold
   ReassignmentsRepeated, ///< to a coordinator, in a new session with it
+  StrangersDropped,      ///< peers that no list has shown: too many others were
+                         ///< known
   Count
 };
 std::string_view nameOf(counter Counter);
@@ -121,6 +140,7 @@
   std::uint64_t TargetsOwned = 0;
   std::uint64_t TargetsListed = 0;
   std::uint64_t PeersReachable = 0;
+  std::uint64_t PeersKnown = 0;
   std::int64_t ConfigurationVersion = 0;
   std::uint64_t EvacuatedDomains = 0; ///< with listed targets
   std::uint64_t EvacuatedTargets = 0; ///< listed ones
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -24,6 +24,8 @@
     if (isSuperseded(Found->second, Datagram.From.Incarnation, Ctx.Now)) {
       return nullptr;
     }
+  } else if (!makeRoomForStranger(Ctx)) {
+    return nullptr;
   }
   return &resetPeer(
       Ctx, {Datagram.From, Received.SourceAddress, Datagram.FailureDomain});
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -57,6 +57,33 @@
   return Ctx.State.Peers[Member.Host.Name] = std::move(Peer);
 }
 
+bool makeRoomForStranger(reducer_context &Ctx) {
+  auto &Peers = Ctx.State.Peers;
+  std::size_t Unlisted = 0;
+  auto First = Peers.end();
+  for (auto Entry = Peers.begin(); Entry != Peers.end(); ++Entry) {
+    const peer_host &Peer = Entry->second;
+    if (Peer.IsRegistered) {
+      continue;
+    }
+    ++Unlisted;
+    const bool IsSilent = Peer.LastReceivedAt == boot_time{};
+    if (IsSilent &&
+        (First == Peers.end() || Peer.KnownSince < First->second.KnownSince)) {
+      First = Entry;
+    }
+  }
+  if (Unlisted < Ctx.State.Init.Limits.MaxUnlistedPeers) {
+    return true;
+  }
+  Ctx.count(counter::StrangersDropped);
+  if (First == Peers.end()) {
+    return false;
+  }
+  Peers.erase(First);
+  return true;
+}
+
 namespace {
 void handleMember(reducer_context &Ctx, const member_record &Member) {
   if (Member.Host.Name == Ctx.State.Init.Name) {
--- a/src/core/pool/peers_p.h
+++ b/src/core/pool/peers_p.h
@@ -8,6 +8,11 @@
 /// Begins anew with a host that is new, or that runs as another process.
 peer_host &resetPeer(reducer_context &Ctx, const member_record &Member);
 
+/// Makes room for a peer that no list of hosts has shown. The one that came
+/// first of those that have confirmed nothing yet goes.
+/// @returns whether there is room
+bool makeRoomForStranger(reducer_context &Ctx);
+
 /// Ends the sessions with peers that are silent, and evicts those of them that
 /// aren't registered.
 void evictSilentPeers(reducer_context &Ctx);
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -309,6 +309,7 @@
       State.Peers.begin(), State.Peers.end(), [&](const auto &Entry) {
         return peerReceivedWithin(Entry.second, Now, config::HostTimeout);
       }));
+  Metrics.PeersKnown = State.Peers.size();
   Metrics.ConfigurationVersion = State.Configuration.Version;
   std::set<std::string_view> EvacuatedDomains;
   for (const auto &[Id, Target] : State.Targets) {
@@ -377,7 +378,8 @@
                "tasks_displaced",
                "messages_dropped",
                "pauses",
-               "reassignments_repeated"};
+               "reassignments_repeated",
+               "strangers_dropped"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
 
--- a/src/poolhost/program.cpp
+++ b/src/poolhost/program.cpp
@@ -60,6 +60,7 @@
   Init.Incarnation = Incarnation;
   Init.RandomSeed = Incarnation;
   Init.MaxLeaseTime = Settings.MaxLeaseTime;
+  Init.Limits = pool::makePoolLimits(Settings.MemoryBytes);
   return Init;
 }
 
@@ -336,6 +337,7 @@
   Add("targets_owned", HostMetrics.TargetsOwned);
   Add("targets_listed", HostMetrics.TargetsListed);
   Add("peers_heard", HostMetrics.PeersReachable);
+  Add("peers_known", HostMetrics.PeersKnown);
   Add("configuration_version", HostMetrics.ConfigurationVersion);
   Add("failure_domains_evacuated", HostMetrics.EvacuatedDomains);
   Add("targets_evacuated", HostMetrics.EvacuatedTargets);
--- a/tests/unit/pool_limits_test.cpp
+++ b/tests/unit/pool_limits_test.cpp
@@ -8,6 +8,51 @@
 using namespace tarragonbridge::pool;
 using namespace std::chrono_literals;
 
+namespace {
+constexpr boot_time Start{1h};
+
+pool_init smallInit() {
+  pool_init Init;
+  Init.Name = "a";
+  Init.FailureDomain = "east";
+  Init.Incarnation = 1;
+  Init.Limits.MaxUnlistedPeers = 16;
+  return Init;
+}
+
+datagram_received datagramOf(const std::string &Name) {
+  datagram_received Received;
+  Received.Datagram.From = {Name, 1};
+  Received.Datagram.FailureDomain = "east";
+  Received.Datagram.StateNumber = 1;
+  Received.SourceAddress = "127.0.0.1:1";
+  return Received;
+}
+} // namespace
+
+// Guards against memory and time without bound: each name is kept for seconds,
+// and each event looks at all of them.
+TEST_CASE("few strangers are known at a time", "[pool]") {
+  const pool_host Host = makePoolHost(smallInit());
+  std::vector<effect> Effects;
+  members_listed Listed;
+  Listed.IsSnapshot = true;
+  for (int Index = 0; Index < 40; ++Index) {
+    Listed.Upserted.push_back(
+        {{"m" + std::to_string(Index), 1}, "127.0.0.1:2", "east"});
+  }
+  reduce(*Host, members_listed(Listed), Start, Effects);
+  for (int Index = 0; Index < 1'000; ++Index) {
+    reduce(*Host, datagramOf("stranger-" + std::to_string(Index)), Start,
+           Effects);
+    reduce(*Host, datagramOf("m" + std::to_string(Index % 40)), Start, Effects);
+  }
+  const pool_metrics Metrics = metricsOf(*Host, Start);
+  CHECK(Metrics.PeersKnown == 40 + 16);
+  CHECK(Metrics.Counters.at(
+            static_cast<std::size_t>(counter::StrangersDropped)) == 1'000 - 16);
+}
+
 TEST_CASE("a datagram under a name that is too long is rejected", "[pool]") {
   const std::size_t Bytes = GENERATE(256U, 257U, 60'000U);
   const bool IsHost = GENERATE(true, false);
