Cancellations push out no record of a job that has run

Callers could have seen: a job was done, its response was lost, and its resubmission within seconds ran it again, as somebody had cancelled ever new ids meanwhile, or one id again and again. Cause: records of cancellations and of ended jobs shared one bound of 50,000, whatever the memory, the oldest went first, and each cancellation of a known id took a place again. Jobs that were refused before anything of them was started took places, too. Fix: cancellations of jobs that aren't here have an order and a bound of their own; if it is full, a cancellation gets 429 and cancels nothing, so that one that was acknowledged holds. A known one is renewed once a second at most. Refused jobs leave no record. Counter refused_cancellations_total.

--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -88,9 +88,10 @@
   RefusedOverloaded,
   RefusedShuttingDown,
   RefusedDuplicate,
-  RefusedNoMemory,  ///< this host holds too many bytes of jobs
-  RefusedSuspect,   ///< targets are silent since they started a task of the job
-  RefusedEvacuated, ///< all failure domains are evacuated
+  RefusedNoMemory, ///< this host holds too many bytes of jobs
+  RefusedSuspect,  ///< targets are silent since they started a task of the job
+  RefusedCancellations, ///< too many of jobs that aren't here
+  RefusedEvacuated,     ///< all failure domains are evacuated
   GivenUpLate,
   GivenUpAttempts,
   GivenUpCrashes, ///< targets crashed under a task of the job
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -265,8 +265,14 @@
 
 namespace {
 /// Cancels a job here or, if it isn't open here, at all other hosts: the caller
-/// may have submitted it to any of them.
+/// may have submitted it to any of them. Nothing is cancelled if there are so
+/// many cancellations that this one might be forgotten.
 response_kind cancelEverywhere(reducer_context &Ctx, const std::string &Id) {
+  if (!Ctx.State.Coordinator.Jobs.contains(Id) &&
+      !hasRoomForCancellation(Ctx)) {
+    Ctx.count(counter::RefusedCancellations);
+    return response_kind::Overloaded;
+  }
   if (cancelJob(Ctx, Id)) {
     return response_kind::Cancelled;
   }
@@ -300,6 +306,9 @@
       Response.Kind = response_kind::UnknownJob; // no job has such an id
     } else if (Query.IsCancel) {
       Response.Kind = cancelEverywhere(Ctx, Id);
+      Response.RetryAfter = Response.Kind == response_kind::Overloaded
+                                ? config::MinRetryAfter
+                                : milliseconds(0);
     } else if (State.Coordinator.Jobs.contains(Id)) {
       Response.Kind = response_kind::Running;
     }
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -23,12 +23,13 @@
   return Highest;
 }
 
-/// Evicts the records of jobs whose latest end is older than EndedRetention,
-/// and the oldest of too many.
-void evictEndedJobs(coordinator_state &Coordinator, boot_time Now) {
-  auto &Order = Coordinator.EndedJobOrder;
+/// Evicts the records of one order whose latest end is older than
+/// EndedRetention, and the oldest of too many.
+void evictEndedJobs(coordinator_state &Coordinator,
+                    coordinator_state::record_order &Order,
+                    std::size_t MaxRecords, boot_time Now) {
   while (!Order.empty() && (Order.front().first + EndedRetention < Now ||
-                            Order.size() > config::MaxEndedJobs)) {
+                            Order.size() > MaxRecords)) {
     const auto &[EndedAt, Id] = Order.front();
     const auto Record = Coordinator.EndedJobs.find(Id);
     if (Record != Coordinator.EndedJobs.end() &&
@@ -44,16 +45,23 @@
   coordinator_state &Coordinator = Ctx.State.Coordinator;
   Coordinator.EndedJobs.at(Id).EndedAt = Ctx.Now;
   Coordinator.EndedJobOrder.emplace_back(Ctx.Now, Id);
-  evictEndedJobs(Coordinator, Ctx.Now);
+  evictEndedJobs(Coordinator, Coordinator.EndedJobOrder,
+                 Ctx.State.Init.Limits.MaxEndedJobs, Ctx.Now);
 }
 
 void recordEndedJob(reducer_context &Ctx, const open_job &Job,
                     response_kind Kind) {
+  auto &Records = Ctx.State.Coordinator.EndedJobs;
   const bool IsFinal =
       Kind == response_kind::JobDone || Kind == response_kind::Cancelled;
-  Ctx.State.Coordinator.EndedJobs[Job.Id] = {
+  const coordinator_state::ended_job Record{
       IsFinal ? std::optional(Kind) : std::nullopt, lastAttemptNumber(Job),
       crashesOf(Job), Ctx.Now};
+  if (!IsFinal && Record.LastAttemptNumber == 0 && Record.Crashes.empty()) {
+    Records.erase(Job.Id); // nothing of it was started
+    return;
+  }
+  Records[Job.Id] = Record;
   keepEndedJob(Ctx, Job.Id);
 }
 
@@ -98,10 +106,32 @@
 }
 
 void recordCancellation(reducer_context &Ctx, const std::string &Id) {
-  auto &Record = Ctx.State.Coordinator.EndedJobs[Id];
+  constexpr milliseconds RenewalInterval{1'000}; ///< of a record
+  coordinator_state &Coordinator = Ctx.State.Coordinator;
+  const auto [Found, IsNew] = Coordinator.EndedJobs.try_emplace(Id);
+  auto &Record = Found->second;
+  const bool IsKnown = Record.FinalResponse.has_value();
+  if (IsKnown && Record.EndedAt + RenewalInterval > Ctx.Now) {
+    return;
+  }
   Record.FinalResponse =
       Record.FinalResponse.value_or(response_kind::Cancelled);
-  keepEndedJob(Ctx, Id);
+  if (Record.LastAttemptNumber > 0) {
+    keepEndedJob(Ctx, Id);
+    return;
+  }
+  Record.EndedAt = Ctx.Now;
+  Coordinator.CancelledJobOrder.emplace_back(Ctx.Now, Id);
+  evictEndedJobs(Coordinator, Coordinator.CancelledJobOrder,
+                 Ctx.State.Init.Limits.MaxCancelledJobs, Ctx.Now);
+}
+
+bool hasRoomForCancellation(reducer_context &Ctx) {
+  coordinator_state &Coordinator = Ctx.State.Coordinator;
+  const pool_limits &Limits = Ctx.State.Init.Limits;
+  evictEndedJobs(Coordinator, Coordinator.CancelledJobOrder,
+                 Limits.MaxCancelledJobs, Ctx.Now);
+  return Coordinator.CancelledJobOrder.size() < Limits.MaxCancelledJobs;
 }
 
 void completeJob(reducer_context &Ctx, const open_job &Job) {
--- a/src/core/pool/job_completion_p.h
+++ b/src/core/pool/job_completion_p.h
@@ -15,6 +15,9 @@
 /// Records that a job that isn't open was cancelled: a late copy of its
 /// submission may arrive.
 void recordCancellation(reducer_context &Ctx, const std::string &Id);
+/// @returns whether the cancellation of a job that isn't open here would be
+/// remembered, and passed on to the other hosts
+bool hasRoomForCancellation(reducer_context &Ctx);
 /// Ends a job whose tasks are all done.
 void completeJob(reducer_context &Ctx, const open_job &Job);
 /// Ends a job as failed.
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -344,6 +344,7 @@
                "refused_duplicate",
                "refused_no_memory",
                "refused_suspect",
+               "refused_cancellations",
                "refused_evacuated",
                "given_up_late",
                "given_up_attempts",
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -171,7 +171,11 @@
     boot_time EndedAt;
   };
   std::map<std::string, ended_job, std::less<>> EndedJobs;
-  std::deque<std::pair<boot_time, std::string>> EndedJobOrder; ///< oldest first
+  using record_order = std::deque<std::pair<boot_time, std::string>>;
+  record_order EndedJobOrder; ///< of EndedJobs, oldest first
+  /// Of those records that only tell of a cancellation. They have an order of
+  /// their own, so that they push out no record of a job that has run.
+  record_order CancelledJobOrder;
   run_time_estimator RunTimeEstimator;
   /// Fraction of all slots whose owners had queued tasks, over the last second.
   double Saturation = 0;
--- a/tests/unit/pool_cancel_test.cpp
+++ b/tests/unit/pool_cancel_test.cpp
@@ -58,3 +58,37 @@
   CHECK(World.responseOf(Request) == response_kind::Cancelled);
   CHECK(World.areTargetsIdle());
 }
+
+namespace {
+/// Cancels ever new jobs, or the same one again and again.
+void cancelMany(pool_simulation &World, std::size_t Count, bool AreNew) {
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    World.cancel(0, {AreNew ? "x" + std::to_string(Index) : "x"});
+  }
+}
+} // namespace
+
+// Guards against TWICE: cancellations push out the record of a job that has
+// run, and its resubmission runs it again.
+TEST_CASE("cancellations push out no record of a job that has run", "[pool]") {
+  const bool AreNew = GENERATE(true, false);
+  CAPTURE(AreNew);
+  simulation_init Init;
+  Init.Hosts = 1;
+  Init.Limits.MaxEndedJobs = 200;
+  Init.Limits.MaxCancelledJobs = 200;
+  pool_simulation World(Init);
+  World.settle();
+  const simulated_job Job{"j", 2};
+  const request_handle First = World.submit(0, Job);
+  World.runFor(1s);
+  REQUIRE(World.responseOf(First) == response_kind::JobDone);
+  const std::uint64_t Starts = World.startCount();
+  cancelMany(World, 1'000, AreNew);
+  World.runFor(1s);
+  const request_handle Again = World.submit(0, Job);
+  World.runFor(1s);
+  CHECK(World.responseOf(Again) == response_kind::JobDone);
+  CHECK(World.startCount() == Starts);
+  CHECK((World.count(response_kind::Overloaded) > 0) == AreNew);
+}
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -43,6 +43,7 @@
   for (std::size_t Host = 0; Host < Init.Hosts; ++Host) {
     Hosts[Host].Init.Name = hostName(Host);
     Hosts[Host].Init.Rules = Init.Rules;
+    Hosts[Host].Init.Limits = Init.Limits;
     Hosts[Host].Init.FailureDomain = domainName(Host % Init.Domains);
     startProcess(Host);
   }
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -23,7 +23,8 @@
   std::size_t Domains = 1;
   std::uint64_t Seed = 1;
   double DatagramLoss = 0;
-  ownership_rules Rules{};         ///< of all hosts
+  ownership_rules Rules{}; ///< of all hosts
+  pool_limits Limits = pool_init{}.Limits;
   std::vector<double> Speeds{1.0}; ///< of targets, in turn
   /// After which a target that a task has crashed is back, as a new
   /// incarnation.
