Cancellations that can't be passed on are refused

Seen in the simulated pool: with four hosts cut off, 1,000 cancellations of unknown ids put 4,000 messages into the links, whatever the bound; each is kept for 5 s, and each event goes through all of them. 20,000 cancellations with as many messages took a unit test minutes. Cause: cancellations are queued past the bound of a link, as an order to stop must not be lost, and a client may send as many as it likes. Jobs that are open here are cancelled always, and their owners told.

--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -131,7 +131,9 @@
   const pool_limits &Limits = Ctx.State.Init.Limits;
   evictEndedJobs(Coordinator, Coordinator.CancelledJobOrder,
                  Limits.MaxCancelledJobs, Ctx.Now);
-  return Coordinator.CancelledJobOrder.size() < Limits.MaxCancelledJobs;
+  return Coordinator.CancelledJobOrder.size() < Limits.MaxCancelledJobs &&
+         unackedCount(Ctx.State) + Ctx.State.Peers.size() <=
+             Limits.MaxUnackedMessages;
 }
 
 void completeJob(reducer_context &Ctx, const open_job &Job) {
--- a/tests/unit/pool_cancel_test.cpp
+++ b/tests/unit/pool_cancel_test.cpp
@@ -92,3 +92,29 @@
   CHECK(World.startCount() == Starts);
   CHECK((World.count(response_kind::Overloaded) > 0) == AreNew);
 }
+
+// Guards against memory without bound: what is passed on to a host that doesn't
+// answer is kept for seconds, for each host.
+TEST_CASE("cancellations that can't be passed on are refused", "[pool]") {
+  constexpr std::size_t Cancellations = 1'000;
+  constexpr std::size_t Hosts = 5;
+  simulation_init Init;
+  Init.Hosts = Hosts;
+  Init.Limits.MaxUnackedMessages = 400;
+  pool_simulation World(Init);
+  World.settle();
+  for (std::size_t Host = 1; Host < Hosts; ++Host) {
+    World.cutDatagrams(0, Host);
+    World.cutDatagrams(Host, 0);
+  }
+  cancelMany(World, Cancellations, true);
+  World.runFor(1s);
+  const std::size_t MaxAccepted = Init.Limits.MaxUnackedMessages / (Hosts - 1);
+  CHECK(World.count(response_kind::Overloaded) >= Cancellations - MaxAccepted);
+  World.heal();
+  World.runFor(20s);
+  const std::size_t Refused = World.count(response_kind::Overloaded);
+  World.cancel(0, {"later"});
+  World.runFor(1s);
+  CHECK(World.count(response_kind::Overloaded) == Refused);
+}
