What the daemon keeps of jobs follows its memory

Seen: 700 clients that submit jobs of 60 KB, answered at once (respond-async), ten one behind the other each, took a daemon of 40 MB to 55,440 KiB. Cause: the queues (256 MB), kept answers (96 MB) and remembered jobs (1,500,000) had fixed bounds; payloads of tasks that run weren't bounded at all once their requests had been answered. Fix: these bounds follow memory_mb; at the default of 1,024 MB and above they are as they were. The bound of bytes holds for all jobs that haven't ended, queued or running; a single job always finds room. Unit tests of the limits and of running jobs.

--- a/include/tarragonbridge/config.h
+++ b/include/tarragonbridge/config.h
@@ -36,7 +36,7 @@
 
 // Queues.
 constexpr std::size_t MaxQueuedTasks = 100'000;
-constexpr std::size_t MaxQueuedBytes = 256U << 20U;
+constexpr std::size_t MaxJobBytes = 256U << 20U; ///< of jobs that run or wait
 /// A job's place in its team's queue: arrival + stretch * longest task.
 constexpr int QueueStretch = 4;
 
--- a/include/tarragonbridge/dispatcher.h
+++ b/include/tarragonbridge/dispatcher.h
@@ -14,10 +14,21 @@
 
 /// What a dispatcher may hold.
 struct dispatcher_limits {
+  std::size_t MaxQueuedTasks = config::MaxQueuedTasks;
+  /// Payloads of the jobs that haven't ended, queued or running. A single job
+  /// always finds room.
+  std::size_t MaxJobBytes = config::MaxJobBytes;
+  std::size_t MaxKeptAnswerBytes = config::MaxKeptAnswerBytes;
+  /// Jobs that run, and jobs that have ended and are remembered.
+  std::size_t MaxKeptJobs = config::MaxKeptJobs;
   /// Requests that wait for jobs which were submitted before.
   std::size_t MaxWaiters = config::MaxWaiters;
 };
 
+/// Derives the limits of a dispatcher from the memory of its process; by
+/// default they are those above.
+dispatcher_limits makeDispatcherLimits(std::size_t MemoryBytes);
+
 /// What a dispatcher needs to start.
 struct dispatcher_init {
   session_home Self;            ///< own failure domain, host and incarnation
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -44,7 +44,8 @@
   if (State.ShuttingDown) {
     return Refuse(reason::ShuttingDown);
   }
-  if (State.Jobs.size() + State.Answers.size() >= config::MaxKeptJobs) {
+  if (State.Jobs.size() + State.Answers.size() >=
+      State.Init.Limits.MaxKeptJobs) {
     return Refuse(reason::ClaimsFull);
   }
   if (const auto Reason = checkCapacity(State, Job, Now)) {
--- a/src/core/capacity.cpp
+++ b/src/core/capacity.cpp
@@ -9,9 +9,6 @@
 namespace tarragonbridge {
 
 namespace {
-constexpr queue_bounds AllQueues{config::MaxQueuedTasks,
-                                 config::MaxQueuedBytes};
-
 queue_size sizeOf(const job_request &Job) {
   queue_size Size{Job.Tasks.size(), 0};
   for (const task_request &Task : Job.Tasks) {
@@ -40,8 +37,7 @@
 bool everFits(const dispatcher_state &State, const job_request &Job) {
   const team_limits &Limits = State.Settings.Teams.at(Job.Team).Limits;
   const queue_size Size = sizeOf(Job);
-  const bool FitsQueue = Size.Tasks <= AllQueues.MaxTasks &&
-                         Size.Bytes <= AllQueues.MaxBytes &&
+  const bool FitsQueue = Size.Tasks <= State.Init.Limits.MaxQueuedTasks &&
                          isWithin(Limits.MaxQueuedTasks, Size.Tasks) &&
                          isWithin(Limits.MaxQueuedBytes, Size.Bytes);
   return FitsQueue && std::all_of(Job.Tasks.begin(), Job.Tasks.end(),
@@ -53,7 +49,10 @@
 std::optional<reason> checkQueues(const dispatcher_state &State,
                                   const job_request &Job) {
   const queue_size Size = sizeOf(Job);
-  if (!State.Queues.hasRoom(AllQueues, Size)) {
+  const dispatcher_limits &Limits = State.Init.Limits;
+  const bool HasBytes =
+      State.JobBytes == 0 || State.JobBytes + Size.Bytes <= Limits.MaxJobBytes;
+  if (!HasBytes || !State.Queues.hasRoom({Limits.MaxQueuedTasks, 0}, Size)) {
     return reason::QueueFull;
   }
   if (!State.Queues.hasRoom(Job.Team, Size)) {
--- a/src/core/ended_jobs.cpp
+++ b/src/core/ended_jobs.cpp
@@ -14,6 +14,7 @@
     const auto Found = State.Jobs.find(Key);
     const job_record &Job = Found->second;
     State.Answers.keep(Key, Job.Digest, answerJob(Job, {}).Body, Now.Boot);
+    State.JobBytes -= Job.PayloadBytes;
     State.Jobs.erase(Found);
   }
   State.EndedJobs.clear();
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -35,6 +35,7 @@
     Job.Tasks.push_back({});
     Job.Tasks.back().Request = Task;
     Job.Tasks.back().QueuedAt = Now.Boot;
+    Job.PayloadBytes += Task.Payload.size();
   }
   Job.Unsettled = Job.Tasks.size();
   return Job;
@@ -159,6 +160,7 @@
   job_record &Job =
       State.Jobs.emplace(Request.Key, makeRecord(State, Request, Now))
           .first->second;
+  State.JobBytes += Job.PayloadBytes;
   setTimer(State, Job.Deadline, timer_kind::Deadline, Job.Key);
   return Job;
 }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -186,8 +186,7 @@
 }
 
 dispatcher makeDispatcher(const dispatcher_init &Init) {
-  dispatcher State(new dispatcher_state);
-  State->Init = Init;
+  dispatcher State(new dispatcher_state(Init));
   State->Settings = defaultSettings(Init.Self.FailureDomain);
   State->Random.seed(Init.RandomSeed);
   State->Peers.Claims.Rules = Init.Rules;
--- a/src/core/state_p.h
+++ b/src/core/state_p.h
@@ -84,6 +84,7 @@
   std::vector<task_record> Tasks;
   std::size_t Unsettled = 0;
   job_failure Failure;
+  std::size_t PayloadBytes = 0; ///< of all tasks
   std::vector<waiter> Waiters;
   boot_time WaitTimerAt = boot_time::max(); ///< the next one that is set
 };
@@ -177,15 +178,18 @@
 };
 
 struct dispatcher_state {
+  explicit dispatcher_state(const dispatcher_init &Init) : Init(Init) {}
+
   dispatcher_init Init;
   settings_tree Settings; ///< in force
   settings_state SettingsPart;
   std::uint64_t NextSession = 1;
   std::unordered_map<std::string, job_record> Jobs;
+  std::size_t JobBytes = 0;           ///< payloads of Jobs
   std::vector<std::string> EndedJobs; ///< during this event
   /// The longest first; some may have been answered.
   std::deque<waiting_request> Waiting;
-  answer_cache Answers{{config::MaxKeptAnswerBytes,
+  answer_cache Answers{{Init.Limits.MaxKeptAnswerBytes,
                         config::AnswerRetention + 2 * config::MaxClockSkew}};
   std::map<std::string, target_record, std::less<>> Targets;
   std::map<std::string, team_record, std::less<>> Teams;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -61,6 +61,7 @@
   Init.Address = Config.Listen;
   Init.RandomSeed = randomNumber();
   Init.Placement = Config.Placement;
+  Init.Limits = makeDispatcherLimits(memoryOf(Config));
   // The other connections are for requests that are answered at once.
   Init.Limits.MaxWaiters = limitsOf(Config).Callers.MaxConnections / 2;
   return Init;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -158,3 +158,46 @@
   }
   CHECK(Answers.size() == 3);
 }
+
+TEST_CASE("limits of a dispatcher follow its memory") {
+  struct limits_case {
+    std::size_t MemoryMb;
+    std::size_t MaxQueuedTasks;
+    std::size_t MaxJobBytes;
+    std::size_t MaxKeptAnswerMb;
+    std::size_t MaxKeptJobs;
+  };
+  const auto Case = GENERATE(values<limits_case>({
+      {40, 4'096, 5'452'590, 4, 59'918},
+      {1'024, 100'000, 256U << 20U, 96, 1'500'000}, // the default
+      {8'192, 100'000, 256U << 20U, 96, 1'500'000},
+  }));
+  CAPTURE(Case.MemoryMb);
+  const dispatcher_limits Limits = makeDispatcherLimits(Case.MemoryMb << 20U);
+  CHECK(Limits.MaxQueuedTasks == Case.MaxQueuedTasks);
+  CHECK(Limits.MaxJobBytes == Case.MaxJobBytes);
+  CHECK(Limits.MaxKeptAnswerBytes == Case.MaxKeptAnswerMb << 20U);
+  CHECK(Limits.MaxKeptJobs == Case.MaxKeptJobs);
+}
+
+// Guards against running jobs that hold more than the queue may.
+TEST_CASE("payloads of all jobs that haven't ended are bounded") {
+  dispatcher_fixture World;
+  dispatcher_init Init{{"curepipe", "cp-1", 7}, "", 1};
+  Init.Limits.MaxJobBytes = 100;
+  World.State = makeDispatcher(Init);
+  World.loadTeams({{"a", {}}});
+  World.listTargets(4, 4, Small);
+  const auto Submit = [&](int Number, std::size_t Bytes) {
+    job_submitted Event = World.job(Number, "a", 1);
+    Event.Job.Tasks.front().Payload = std::string(Bytes, '1');
+    World.apply(Event);
+    return World.Answers.back().Status;
+  };
+  CHECK(Submit(1, 150) == 202); // alone
+  CHECK(Submit(2, 1) == 429);
+  World.finish(World.Started.front());
+  CHECK(Submit(3, 60) == 202);
+  CHECK(Submit(4, 40) == 202);
+  CHECK(Submit(5, 1) == 429);
+}
