--- a/tests/unit/pool_limits_test.cpp
+++ b/tests/unit/pool_limits_test.cpp
@@ -72,3 +72,30 @@
   CHECK(Link.accept(1));
   CHECK(Link.accept(config::ReceiveWindow + 1)); // sent again
 }
+
+// A 429 says that the job never runs.
+TEST_CASE("a submission without room is refused only if nothing of it runs",
+          "[pool]") {
+  simulation_init Init;
+  Init.Hosts = 1;
+  pool_simulation World(Init);
+  World.settle();
+  simulated_job Job{"j", 2};
+  Job.RunTime = 2s;
+  const request_handle First = World.submit(0, Job);
+  World.runFor(500ms);
+  Job.HasRoom = false;
+  const request_handle WhileItRuns = World.submit(0, Job);
+  World.runFor(3s);
+  CHECK(World.responseOf(First) == response_kind::JobDone);
+  CHECK(World.responseOf(WhileItRuns) == response_kind::JobDone);
+  const std::uint64_t Starts = World.startCount();
+  const request_handle Later = World.submit(0, Job);
+  simulated_job Other{"k", 1};
+  Other.HasRoom = false;
+  const request_handle OtherJob = World.submit(0, Other);
+  World.runFor(1s);
+  CHECK(World.responseOf(Later) == response_kind::JobDone);
+  CHECK(World.responseOf(OtherJob) == response_kind::Overloaded);
+  CHECK(World.startCount() == Starts);
+}
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -307,6 +307,7 @@
   Posted.HostName = "caller.example";
   Posted.Path = "/" + Job.Route + "/" + Job.Id;
   Posted.TimeLimit = Job.TimeLimit;
+  Posted.HasRoom = Job.HasRoom;
   Posted.Job.Specification = "spec";
   Posted.Job.Steps.push_back({Job.Tasks, Job.RequiredResources,
                               Job.EstimatedRunTime > milliseconds(0)
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -50,6 +50,7 @@
   milliseconds EstimatedRunTime{}; ///< zero: the exact run time
   /// Of each task; empty: all the same.
   std::vector<milliseconds> TaskRunTimes{};
+  bool HasRoom = true; ///< in the memory of the host that it is submitted to
 };
 
 /// Faults of requests to targets, each as a fraction of the requests of a kind,
