--- a/tests/integration/crowd_lib.sh
+++ b/tests/integration/crowd_lib.sh
@@ -23,10 +23,14 @@
 CONF
 }
 
-# start_pool MEMORY_MB DESCRIPTORS
+# start_pool MEMORY_MB DESCRIPTORS [TARGETS]: a host with one target, or several
 start_pool() {
+  local targets number
   memory_mb=$1 descriptors=$2 path=/quote/0000000000000000
-  start "$bin/platform_emulator" --store "$(address 20)" --admin "$(address 21)" --targets "$(address 22)"
+  targets=$(address 22)
+  for number in $(seq 23 $((21 + ${3:-1}))); do targets+=,$(address "$number"); done
+  start "$bin/platform_emulator" --store "$(address 20)" --admin "$(address 21)" --targets "$targets" \
+    --failure-domains east
   await "http://$(address 21)/report"
   write_pool_settings pool-1 0
   start "$bin/tarragonbridge-pool" --settings "$work/settings-pool-1"
