--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -1,5 +1,6 @@
-// The cases of the third review that are scripts: cases NAME FOLDER RECORD. Exits with 1 if the
-// rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+// The cases of the third review that are scripts: cases NAME FOLDER RECORD.
+// Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't
+// run. TROUBLE=0 leaves the disruption out.
 #include "world.h"
 
 #include <csignal>
@@ -91,8 +92,7 @@
 void settle(world &World) {
   sleepMs(StableWindowMs + 1'000);
   for (const auto &Host : World.Hosts) {
-    const http_answer Answer =
-        submit(*Host, newId(), jobBody(2, 100), 1'500);
+    const http_answer Answer = submit(*Host, newId(), jobBody(2, 100), 1'500);
     record("a first job at " + Host->name() + " -> " + show(Answer));
     require(World, Answer.Status == 200, "a job is served in calm");
   }
@@ -119,8 +119,7 @@
   sleepMs(4'000);
   if (HasTrouble) {
     record("a copy of the submission arrives at front-2, 4 s after the 2xx");
-    record("its answer: " +
-           show(submit(World.at(1), Job, Body, 8'000)));
+    record("its answer: " + show(submit(World.at(1), Job, Body, 8'000)));
   }
   sleepMs(1'000);
   finish(World, hasLateStart(World.Log, Job, AckedAt) ? 1 : 0);
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -60,9 +60,9 @@
     std::uint32_t Group = 0;
     const std::size_t Count = std::min<std::size_t>(3, Bytes.size() - At);
     for (std::size_t Index = 0; Index < 3; ++Index) {
-      Group = Group << 8 |
-              (Index < Count ? static_cast<unsigned char>(Bytes[At + Index])
-                             : 0U);
+      Group =
+          Group << 8 |
+          (Index < Count ? static_cast<unsigned char>(Bytes[At + Index]) : 0U);
     }
     for (std::size_t Index = 0; Index < 4; ++Index) {
       Text += Index <= Count ? Digits[Group >> (18 - 6 * Index) & 63] : '=';
@@ -92,8 +92,8 @@
 
 /// Reads a message of HTTP from a socket; Buffer keeps what follows it.
 bool readMessage(int Socket, std::string &Buffer, std::string &FirstLine,
-                 std::map<std::string, std::string> &Headers,
-                 std::string &Body, std::int64_t Until) {
+                 std::map<std::string, std::string> &Headers, std::string &Body,
+                 std::int64_t Until) {
   const auto Fill = [&] {
     const std::int64_t Left = Until < 0 ? -1 : Until - nowMs();
     if (Until >= 0 && Left <= 0) {
@@ -150,8 +150,8 @@
 bool sendAll(int Socket, const std::string &Bytes) {
   std::size_t Sent = 0;
   while (Sent < Bytes.size()) {
-    const ssize_t Count = send(Socket, Bytes.data() + Sent, Bytes.size() - Sent,
-                               MSG_NOSIGNAL);
+    const ssize_t Count =
+        send(Socket, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
     if (Count <= 0) {
       return false;
     }
@@ -310,10 +310,9 @@
 }
 
 std::string http_request::query(const std::string &Name) const {
-  std::string Rest =
-      Target.find('?') == std::string::npos
-          ? ""
-          : Target.substr(Target.find('?') + 1);
+  std::string Rest = Target.find('?') == std::string::npos
+                         ? ""
+                         : Target.substr(Target.find('?') + 1);
   while (!Rest.empty()) {
     const std::string Part = Rest.substr(0, Rest.find('&'));
     Rest.erase(0, Part.size() + 1);
@@ -358,8 +357,8 @@
                      -1)) {
     const std::size_t Space = FirstLine.find(' ');
     Request.Method = FirstLine.substr(0, Space);
-    Request.Target = FirstLine.substr(
-        Space + 1, FirstLine.rfind(' ') - Space - 1);
+    Request.Target =
+        FirstLine.substr(Space + 1, FirstLine.rfind(' ') - Space - 1);
     http_answer Answer;
     try {
       Answer = Handler(Request);
@@ -415,8 +414,7 @@
     const int Udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     sockaddr_in Address = addressOf(Ip, 0);
     socklen_t Size = sizeof(Address);
-    bool IsFree =
-        bind(Tcp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
+    bool IsFree = bind(Tcp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
     getsockname(Tcp, reinterpret_cast<sockaddr *>(&Address), &Size);
     IsFree =
         IsFree && bind(Udp, reinterpret_cast<sockaddr *>(&Address), Size) == 0;
@@ -518,8 +516,8 @@
   }
   const std::lock_guard Lock(Mutex);
   if (Path == "/-/kv-lease") {
-    const std::int64_t Ttl =
-        std::max<std::int64_t>(1000, parseJson(Request.Body).at("ttlMs").Number);
+    const std::int64_t Ttl = std::max<std::int64_t>(
+        1000, parseJson(Request.Body).at("ttlMs").Number);
     Leases[++LastLease] = {Ttl, nowMs() + Ttl};
     return {200,
             "{\"lease\":" + std::to_string(LastLease) +
@@ -555,8 +553,8 @@
     }
   }
   return {200,
-          "{\"items\":[" + Text + "],\"truncated\":false,\"at\":" +
-              std::to_string(Revision) + "}",
+          "{\"items\":[" + Text +
+              "],\"truncated\":false,\"at\":" + std::to_string(Revision) + "}",
           {}};
 }
 
@@ -691,8 +689,8 @@
 
 void worker::extendLease(const json &Body) {
   if (Body.has("deadlineMs")) {
-    LeaseEnd = std::max(LeaseEnd, std::min(Body.at("deadlineMs").Number,
-                                           clock() + HoldMaxMs));
+    LeaseEnd = std::max(
+        LeaseEnd, std::min(Body.at("deadlineMs").Number, clock() + HoldMaxMs));
   }
 }
 
@@ -758,7 +756,8 @@
     return {200, Ok, {}};
   }
   const auto Last = LastRun.find(Task);
-  if (Found != Running.end() || (Last != LastRun.end() && Run <= Last->second)) {
+  if (Found != Running.end() ||
+      (Last != LastRun.end() && Run <= Last->second)) {
     return refuse("old");
   }
   if (Body.at("deadlineMs").Number <= clock()) {
@@ -846,8 +845,7 @@
   Pid = fork();
   if (Pid == 0) {
     setenv("TARRAGONBRIDGE_BOOT", Settings.c_str(), 1);
-    const int File =
-        open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int File = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(File, STDOUT_FILENO);
     dup2(File, STDERR_FILENO);
     const char *Program = "target/bin/tarragonbridge-pool";
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.h
@@ -1,5 +1,6 @@
-// Stand-ins of the platform for the cases of the third review: store, workers, clients. They
-// follow PROTOCOL.md; where it is silent, they behave like sound ones. One thread a connection.
+// Stand-ins of the platform for the cases of the third review: store, workers,
+// clients. They follow PROTOCOL.md; where it is silent, they behave like sound
+// ones. One thread a connection.
 #pragma once
 
 #include <atomic>
@@ -143,7 +144,8 @@
   std::vector<run_event> Events;
 };
 
-/// A worker: runs each task for the time that its specification names, "run MS".
+/// A worker: runs each task for the time that its specification names, "run
+/// MS".
 class worker {
 public:
   worker(const std::string &Ip, std::string Id, std::string Zone, store &Store,
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -24,9 +24,9 @@
   Store = std::make_unique<store>(Network + "200");
   Store->write("op/config", configuration(7, "desk"));
   for (std::size_t Index = 0; Index < WorkerCount; ++Index) {
-    Workers.push_back(std::make_unique<worker>(
-        Network + "201", "w" + std::to_string(Index),
-        Zones[Index % Zones.size()], *Store, Log));
+    Workers.push_back(
+        std::make_unique<worker>(Network + "201", "w" + std::to_string(Index),
+                                 Zones[Index % Zones.size()], *Store, Log));
   }
   const int PeerPort = freePort(Network + "1");
   for (std::size_t Index = 0; Index < Machines; ++Index) {
@@ -67,10 +67,8 @@
 std::string jobBody(int Tasks, int RunMs, int Cpu) {
   return "{\"specification\":\"run " + std::to_string(RunMs) +
          "\",\"bestEffort\":true,\"steps\":[{\"count\":" +
-         std::to_string(Tasks) +
-         ",\"cpu\":" + std::to_string(Cpu) +
-         ",\"memMb\":64,\"estimatedMs\":" +
-         std::to_string(RunMs) + "}]}";
+         std::to_string(Tasks) + ",\"cpu\":" + std::to_string(Cpu) +
+         ",\"memMb\":64,\"estimatedMs\":" + std::to_string(RunMs) + "}]}";
 }
 
 http_answer submit(const host &Host, const std::string &Id,
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -1,4 +1,5 @@
-// A small installation on loopback addresses: a store, workers, machines of the system.
+// A small installation on loopback addresses: a store, workers, machines of the
+// system.
 #pragma once
 
 #include "platform.h"
@@ -16,8 +17,8 @@
 
   /// Starts everything and waits until each machine is ready. Exits with 2 if
   /// that takes too long.
-  world(const std::string &Folder, std::size_t Machines, std::size_t WorkerCount,
-        const std::vector<std::string> &Zones);
+  world(const std::string &Folder, std::size_t Machines,
+        std::size_t WorkerCount, const std::vector<std::string> &Zones);
   host &at(std::size_t Index) { return *Hosts.at(Index); }
   std::size_t runningCount();
 };
