--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -4,6 +4,7 @@
 #include "link.h"
 #include "world.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -246,8 +247,11 @@
       if (IsLater && Run.first.Task == Other.first.Task &&
           Other.first.AtMs < Run.second) {
         record("TWICE: " + Later + " starts " +
-               std::to_string(Run.second - Other.first.AtMs) + " ms before " +
-               Name + " has ended");
+               std::to_string(Other.first.AtMs - Run.first.AtMs) +
+               " ms after " + Name + " and is beside it for " +
+               std::to_string(std::min(Run.second, Other.second) -
+                              Other.first.AtMs) +
+               " ms");
         IsBroken = true;
       }
     }
@@ -258,7 +262,7 @@
 /// A machine is suspended for a moment, in which some of its clients leave.
 /// They send their jobs again, to another machine.
 void suspended(world &World) {
-  constexpr std::int64_t SuspendedMs = 690;
+  constexpr std::int64_t SuspendedMs = 500;
   constexpr int LimitMs = 1'500;
   constexpr int LeavesAfterMs = 80;
   constexpr std::size_t ClientCount = 12;
@@ -281,7 +285,8 @@
           record("POST " + Job + " at front-1 -> " + show(Post(Job, LimitMs)));
           return;
         }
-        (void)Post(Job, LeavesAfterMs);
+        (void)postAndLeave(Link.address(), "/desk/" + Job, Body, LimitMs,
+                           LeavesAfterMs);
         record("the client of " + Job + " leaves");
         sleepMs(ResendMs);
         record("POST " + Job + " arrives again, at front-2");
--- a/review/standins-3/link.cpp
+++ b/review/standins-3/link.cpp
@@ -4,7 +4,6 @@
 
 #include <arpa/inet.h>
 #include <cstdlib>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,8 +11,6 @@
 namespace standin {
 
 namespace {
-constexpr std::int64_t FirstRetransmissionMs = 200;
-
 sockaddr_in socketAddress(const std::string &Address) {
   const std::size_t Colon = Address.find(':');
   sockaddr_in To{};
@@ -35,6 +32,12 @@
   }
   return true;
 }
+
+void resetChannel(int Socket) {
+  const linger AtOnce{1, 0};
+  setsockopt(Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof(AtOnce));
+  close(Socket);
+}
 } // namespace
 
 client_link::client_link(const std::string &Ip, std::string Machine)
@@ -60,44 +63,55 @@
   }
 }
 
-void client_link::waitUntilTaken(std::int64_t SentAt) {
-  std::int64_t Timeout = FirstRetransmissionMs;
-  std::int64_t At = SentAt;
-  while (IsStopped) {
-    At += Timeout;
-    Timeout *= 2;
-    sleepMs(At - nowMs());
-  }
-}
-
 void client_link::pass(int Client) {
   const int Host = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in To = socketAddress(Machine);
   bool IsOpen =
       connect(Host, reinterpret_cast<const sockaddr *>(&To), sizeof(To)) == 0;
+  bool HasLeft = false;
   while (IsOpen) {
-    pollfd Sockets[2] = {{Client, POLLIN, 0}, {Host, POLLIN, 0}};
+    pollfd Sockets[2] = {{HasLeft ? -1 : Client, POLLIN, 0}, {Host, POLLIN, 0}};
     poll(Sockets, 2, -1);
     char Bytes[8192];
     if (Sockets[0].revents != 0) {
-      const std::int64_t SentAt = nowMs();
       const ssize_t Size = recv(Client, Bytes, sizeof(Bytes), 0);
-      waitUntilTaken(SentAt);
-      IsOpen =
-          Size > 0 && sendWhole(Host, Bytes, static_cast<std::size_t>(Size));
-      if (Size <= 0) {
-        record("the end of a client's channel reaches the machine " +
-               std::to_string(nowMs() - SentAt) + " ms after it was sent");
+      HasLeft = Size <= 0;
+      const bool IsLost = HasLeft && IsStopped;
+      if (HasLeft) {
+        record(IsLost ? "the reset of a client's channel is lost"
+                      : "a client's channel ends");
       }
+      IsOpen =
+          IsLost ||
+          (Size > 0 && sendWhole(Host, Bytes, static_cast<std::size_t>(Size)));
     }
     if (IsOpen && Sockets[1].revents != 0) {
       const ssize_t Size = recv(Host, Bytes, sizeof(Bytes), 0);
-      IsOpen =
-          Size > 0 && sendWhole(Client, Bytes, static_cast<std::size_t>(Size));
+      IsOpen = Size > 0 && !HasLeft &&
+               sendWhole(Client, Bytes, static_cast<std::size_t>(Size));
     }
   }
-  close(Host);
-  close(Client);
+  resetChannel(Host);
+  resetChannel(Client);
+}
+
+bool postAndLeave(const std::string &Address, const std::string &Path,
+                  const std::string &Body, int LimitMs, int LeavesAfterMs) {
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in To = socketAddress(Address);
+  const std::string Text =
+      "POST " + Path + " HTTP/1.1\r\nHost: desk.example\r\n" +
+      "Remaining-Milliseconds: " + std::to_string(LimitMs) +
+      "\r\nContent-Type: application/json\r\nContent-Length: " +
+      std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  pollfd Answer{Socket, POLLIN, 0};
+  const bool IsAnswered =
+      connect(Socket, reinterpret_cast<const sockaddr *>(&To), sizeof(To)) ==
+          0 &&
+      sendWhole(Socket, Text.data(), Text.size()) &&
+      poll(&Answer, 1, LeavesAfterMs) > 0;
+  resetChannel(Socket);
+  return IsAnswered;
 }
 
 } // namespace standin
--- a/review/standins-3/link.h
+++ b/review/standins-3/link.h
@@ -3,14 +3,13 @@
 #pragma once
 
 #include <atomic>
-#include <cstdint>
 #include <string>
 
 namespace standin {
 
-/// Passes the channels of clients on to a machine. While the machine stands
-/// still, what a client sends is lost and sent again as TCP does: 0.2 s later,
-/// then after 0.4 s, 0.8 s and so on, until the machine is there to take it.
+/// Passes the channels of clients on to a machine. A client leaves by resetting
+/// its channel. The reset is sent once: a machine that stands still never
+/// gets it.
 class client_link {
 public:
   client_link(const std::string &Ip, std::string Machine);
@@ -21,11 +20,15 @@
 private:
   void accept(int Listener);
   void pass(int Client);
-  void waitUntilTaken(std::int64_t SentAt);
 
   std::string Address;
   std::string Machine;
   std::atomic<bool> IsStopped = false;
 };
 
+/// Sends a job and leaves after some time, if it isn't answered by then.
+/// @returns whether it was answered
+bool postAndLeave(const std::string &Address, const std::string &Path,
+                  const std::string &Body, int LimitMs, int LeavesAfterMs);
+
 } // namespace standin
