--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -844,6 +845,7 @@
 void host::launch() {
   Pid = fork();
   if (Pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // it doesn't outlive the case
     setenv("TARRAGONBRIDGE_BOOT", Settings.c_str(), 1);
     const int File = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(File, STDOUT_FILENO);
