Jobs of callers that left unnoticed are withdrawn when they are sent again

Cause: a host takes a caller for present until it reads the end of the connection. The pause in the case isn't the cause: the simulated pool breaks the rule the same with no pause, with pauses of 0.2, 0.5 and 0.7 s, with several in a row, with tasks at another host, and with stops that stay unanswered.

Change: hosts tell each other, in the states that they send anyway, which jobs have been open for 0.2 s (digests of their ids), and which have ended while attempts may still run. A host that gets a listed job asks for its withdrawal and places it once it isn't listed any more. A job that a host which is heard hasn't confirmed to know is withdrawn 1.1 s after its caller was last proved not to have gone there. After a start and after a long pause a host reads the lists of the others before it places a job. An owner tells the coordinator of a task that it takes from its queue, so that the job counts as ended at once.

Why it works: a resubmission comes 1.3 s after a caller left at the earliest. By then either the host that gets it knows of the job, and waits, or the job has been withdrawn.

--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -95,6 +95,17 @@
 /// The same after an attempt's stop was requested, which may stay unanswered:
 /// its caller may have left some time before.
 constexpr milliseconds LeaseAfterStopRequest{1'000};
+// Jobs whose callers may have left unnoticed.
+/// Other hosts are told of a job that has been open for this long: soon enough
+/// to know of it when its caller, having left at once, submits it again.
+constexpr milliseconds ListedJobAge{200};
+/// Jobs that a host lists in its state, so that the datagram isn't too large.
+constexpr std::size_t MaxListedJobs = 1'000;
+/// A job is abandoned this long after its caller was last proved not to have
+/// submitted it to another host: its attempts have been stopped when the caller
+/// does so, 1.3 s after it left.
+constexpr milliseconds CallerProofTimeout{1'100};
+
 /// A task isn't started if the lease would have to end sooner than this.
 constexpr milliseconds MinStartLease{150};
 /// A newly registered host counts as alive for this long without a datagram.
@@ -142,6 +153,9 @@
 constexpr milliseconds ResumedListingTime{200};
 /// Live peers are heard again within this time after a pause.
 constexpr milliseconds PeerCheckTime{600};
+/// After a pause of this long a host reads again which jobs are open elsewhere,
+/// within PeerCheckTime: peers may have taken it for failed meanwhile.
+constexpr milliseconds JobListPause{600};
 /// The list of targets is read again within this time after a pause: one
 /// request that is repeated after a failure.
 constexpr milliseconds ResumedListTime{StoreTimeout + MinStoreBackoff};
--- a/include/tarragonbridge/pool/peer_messages.h
+++ b/include/tarragonbridge/pool/peer_messages.h
@@ -60,6 +60,12 @@
   std::uint64_t Token = 0;
 };
 
+/// The sender got these jobs from callers that must have left the receiver. It
+/// waits until the receiver doesn't list them any more.
+struct jobs_resubmitted {
+  std::vector<std::uint64_t> Jobs; ///< digests, as in host_state
+};
+
 /// An attempt that runs, or may run, on a target that is handed over.
 struct handover_attempt {
   attempt_ref Attempt;
@@ -82,7 +88,7 @@
 
 using peer_message =
     std::variant<task_offer, offer_refused, task_ended, tasks_cancelled,
-                 attempts_reassigned, target_handover>;
+                 attempts_reassigned, target_handover, jobs_resubmitted>;
 
 /// Numbers of targets that crashed under a task.
 struct crash_count {
@@ -125,6 +131,10 @@
   bool CanOwnTargets = true;
   /// As this host last read or was told them, with those that have ended.
   std::vector<evacuation_record> Evacuations = {};
+  /// Digests of the sender's jobs that other hosts must not run, sorted: jobs
+  /// that have been open for a while, and ended ones with attempts that may
+  /// still run.
+  std::vector<std::uint64_t> OpenJobs = {};
 };
 
 /// A datagram between two hosts: the latest host state, reliable messages and
@@ -137,6 +147,9 @@
   /// Latest state of the receiver that the sender has received. The receiver
   /// knows when it sent that one, and so the greatest age of the datagram.
   std::uint64_t AckedStateNumber = 0;
+  /// Latest state of the receiver of which the sender holds the content. A
+  /// state can be acknowledged without: each datagram tells its number.
+  std::uint64_t HeldStateNumber = 0;
   std::optional<host_state> State;
   std::uint64_t Epoch = 0;      ///< of the sender's message numbers
   std::uint64_t AckedEpoch = 0; ///< epoch of the receiver that the acks are for
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -94,8 +94,9 @@
   RefusedEvacuated,     ///< all failure domains are evacuated
   GivenUpLate,
   GivenUpAttempts,
-  GivenUpCrashes, ///< targets crashed under a task of the job
-  GivenUpPaused,  ///< this process stood still while the job was open
+  GivenUpCrashes,     ///< targets crashed under a task of the job
+  GivenUpPaused,      ///< this process stood still while the job was open
+  GivenUpResubmitted, ///< the caller had submitted the job to another host
   CallersLeft,
   TasksOffered,
   OffersRefused,
@@ -128,6 +129,8 @@
   ReassignmentsRepeated, ///< to a coordinator, in a new session with it
   StrangersDropped,      ///< peers that no list has shown: too many others were
                          ///< known
+  CallersUnproved,       ///< jobs whose callers weren't proved to have stayed
+  WithdrawalsRequested,  ///< of jobs that are still open at another host
   Count
 };
 std::string_view nameOf(counter Counter);
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -2,6 +2,7 @@
 #include "core/pool/job_completion_p.h"
 #include "core/pool/job_offers_p.h"
 #include "core/pool/pauses_p.h"
+#include "core/pool/resubmissions_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
@@ -165,6 +166,7 @@
                         const offer_refused &Refused) {
   recordNoCapacity(Ctx.State, From, Refused.PredictedQueueWait);
   for (const attempt_ref &Attempt : Refused.Attempts) {
+    noteEndedAttempt(Ctx, Attempt);
     const auto Found = Ctx.State.Coordinator.Jobs.find(Attempt.Job);
     if (Found == Ctx.State.Coordinator.Jobs.end()) {
       continue;
@@ -178,6 +180,7 @@
 
 void handleTaskEnded(reducer_context &Ctx, const task_ended &Ended) {
   coordinator_state &Coordinator = Ctx.State.Coordinator;
+  noteEndedAttempt(Ctx, Ended.Attempt);
   const auto Found = Coordinator.Jobs.find(Ended.Attempt.Job);
   if (Found == Coordinator.Jobs.end()) {
     return;
@@ -247,9 +250,45 @@
   }
 }
 
+namespace {
+/// Cancels the tasks of a job whose callers may have been served elsewhere. It
+/// is given up at once if none of them was placed.
+void withdrawJob(reducer_context &Ctx, open_job &Job) {
+  const bool IsPlaced =
+      std::any_of(Job.Tasks.begin(), Job.Tasks.end(), [](const job_task &Task) {
+        return Task.Phase == task_phase::Offered;
+      });
+  if (!IsPlaced) {
+    Ctx.count(counter::GivenUpPaused);
+    abandonJob(Ctx, std::string(Job.Id), "paused");
+    return;
+  }
+  Job.IsWithdrawn = true;
+  Job.ExpiresAt = Ctx.Now + config::WithdrawnJobTime;
+  cancelOfferedTasks(Ctx, Job);
+}
+
+/// Withdraws the jobs whose callers aren't proved to have stayed.
+void withdrawUnprovedJobs(reducer_context &Ctx) {
+  std::vector<open_job *> Unproved;
+  for (auto &[Id, Job] : Ctx.State.Coordinator.Jobs) {
+    if (!Job.IsWithdrawn && isCallerUnproved(Ctx.State, Job, Ctx.Now)) {
+      Unproved.push_back(&Job);
+    }
+  }
+  for (open_job *Job : Unproved) {
+    Ctx.count(counter::CallersUnproved);
+    Ctx.log("job_withdrawn", {{"job", Job->Id}, {"reason", "caller_unproved"}});
+    withdrawJob(Ctx, *Job);
+  }
+}
+} // namespace
+
 void expireJobs(reducer_context &Ctx) {
   pool_state &State = Ctx.State;
   reviewHeldJobs(Ctx);
+  expireEndingJobs(Ctx);
+  withdrawUnprovedJobs(Ctx);
   std::vector<std::string> JobsAwaitingOwner;
   for (const auto &[Id, Job] : State.Coordinator.Jobs) {
     if (Job.AwaitsOwner) {
@@ -280,22 +319,15 @@
 
 void withdrawJobs(reducer_context &Ctx, boot_time CallersKnownAt) {
   pool_state &State = Ctx.State;
-  std::vector<std::string> Unplaced;
+  std::vector<open_job *> Withdrawn;
   for (auto &[Id, Job] : State.Coordinator.Jobs) {
     const boot_time KnownAt = std::max(Job.SubmittedAt, CallersKnownAt);
-    if (Job.IsWithdrawn || KnownAt + config::CoordinatorTimeout > Ctx.Now) {
-      continue;
-    }
-    Job.IsWithdrawn = true;
-    Job.ExpiresAt = Ctx.Now + config::WithdrawnJobTime;
-    cancelOfferedTasks(Ctx, Job);
-    if (Job.AwaitsOwner) {
-      Unplaced.push_back(Id);
+    if (!Job.IsWithdrawn && KnownAt + config::CoordinatorTimeout <= Ctx.Now) {
+      Withdrawn.push_back(&Job);
     }
   }
-  for (const std::string &Id : Unplaced) {
-    Ctx.count(counter::GivenUpPaused);
-    abandonJob(Ctx, Id, "paused");
+  for (open_job *Job : Withdrawn) {
+    withdrawJob(Ctx, *Job);
   }
 }
 
@@ -311,6 +343,9 @@
   for (const auto &[Id, Job] : State.Coordinator.Jobs) {
     NextExpiry = std::min(NextExpiry, Job.ExpiresAt);
   }
+  for (const auto &[Id, Ending] : State.Coordinator.EndingJobs) {
+    NextExpiry = std::min(NextExpiry, Ending.EndsBy);
+  }
   return NextExpiry;
 }
 
--- a/src/core/pool/datagrams.cpp
+++ b/src/core/pool/datagrams.cpp
@@ -2,6 +2,7 @@
 #include "core/pool/job_completion_p.h"
 #include "core/pool/pauses_p.h"
 #include "core/pool/peers_p.h"
+#include "core/pool/resubmissions_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
@@ -31,18 +32,16 @@
       Ctx, {Datagram.From, Received.SourceAddress, Datagram.FailureDomain});
 }
 
-/// @returns when this host sent the state that a datagram acknowledges, if that
-/// was within MaxDatagramAge. The datagram can't be older than that.
-std::optional<boot_time> ackedStateSentAt(const reducer_context &Ctx,
-                                          const datagram &Datagram) {
+/// @returns when this host sent a state, if that was within MaxDatagramAge
+std::optional<boot_time> stateSentAt(const reducer_context &Ctx,
+                                     std::uint64_t StateNumber) {
   const auto &Sent = Ctx.State.SentStates;
   const auto Found =
-      std::lower_bound(Sent.begin(), Sent.end(), Datagram.AckedStateNumber,
+      std::lower_bound(Sent.begin(), Sent.end(), StateNumber,
                        [](const auto &Entry, std::uint64_t Number) {
                          return Entry.first < Number;
                        });
-  const bool IsFresh = Found != Sent.end() &&
-                       Found->first == Datagram.AckedStateNumber &&
+  const bool IsFresh = Found != Sent.end() && Found->first == StateNumber &&
                        Found->second + config::MaxDatagramAge >= Ctx.Now;
   return IsFresh ? std::optional(Found->second) : std::nullopt;
 }
@@ -123,6 +122,13 @@
   }
 }
 
+/// @returns the state that peers get under the current number
+host_state makeAdvertisedState(pool_state &State, boot_time Now) {
+  host_state HostState = makeHostState(State, Now);
+  HostState.OpenJobs = listOpenJobs(State, Now, State.StateNumber);
+  return HostState;
+}
+
 /// @param[in] HostState result of encodeState, empty when none is due
 void sendTo(reducer_context &Ctx, peer_host &Peer, std::string_view HostState) {
   pool_state &State = Ctx.State;
@@ -136,6 +142,7 @@
   Datagram.AckedStateNumber = isCheckingCallers(State, Ctx.Now)
                                   ? Peer.StateNumberBeforePause
                                   : Peer.StateNumber;
+  Datagram.HeldStateNumber = Peer.HeldStateNumber;
   // Contact keeps the leases of this host's tasks, so it must bring their
   // cancellations. A peer that was heard long ago soon takes no datagram of
   // this host as contact: they acknowledge old states.
@@ -184,9 +191,12 @@
   }
 }
 
-void applyState(reducer_context &Ctx, peer_host &Peer, host_state &&HostState) {
+void applyState(reducer_context &Ctx, peer_host &Peer, std::uint64_t Number,
+                host_state &&HostState) {
   recordOwnershipChanges(Ctx, Peer.State.Targets, HostState.Targets);
   Peer.HasState = true;
+  Peer.HeldStateNumber = Number;
+  Peer.OpenJobs = {std::exchange(HostState.OpenJobs, {}), Ctx.Now};
   Peer.State = std::move(HostState);
   Ctx.State.DepartedCrashes.erase(Peer.Member.Host);
   expireReservations(Peer, Ctx.Now);
@@ -210,6 +220,15 @@
   Peer.NeedsState = true; // it tells the peer of this session
   repeatReassignments(Ctx, Peer.Member.Host);
 }
+/// Records that a peer has the content of a state of this host.
+void recordHeldState(const reducer_context &Ctx, peer_host &Peer,
+                     std::uint64_t StateNumber) {
+  const auto SentAt = stateSentAt(Ctx, StateNumber);
+  if (SentAt && StateNumber > Peer.KnownStateNumber) {
+    Peer.KnownStateNumber = StateNumber;
+    Peer.KnownStateSentAt = *SentAt;
+  }
+}
 } // namespace
 
 void handleDatagram(reducer_context &Ctx, datagram_received &&Received) {
@@ -226,7 +245,8 @@
   if (Datagram.State) { // also if it is late: of two records the later counts
     learnEvacuations(Ctx, Datagram.From.Name, Datagram.State->Evacuations);
   }
-  const auto AckedSentAt = ackedStateSentAt(Ctx, Datagram);
+  // The datagram can't be older than the state that it acknowledges.
+  const auto AckedSentAt = stateSentAt(Ctx, Datagram.AckedStateNumber);
   if (!AckedSentAt) {
     return; // sent before this host was paused, or the sender gets none from it
   }
@@ -234,11 +254,12 @@
   Peer->LastReceivedAt = Ctx.Now;
   Peer->AliveAt = std::max(Peer->AliveAt, *AckedSentAt);
   if (Datagram.State && (IsNewest || !Peer->HasState)) {
-    applyState(Ctx, *Peer, std::move(*Datagram.State));
+    applyState(Ctx, *Peer, Datagram.StateNumber, std::move(*Datagram.State));
   }
   if (Datagram.ReceiverIncarnation != Ctx.State.Init.Incarnation) {
     return; // meant for an earlier process of this host
   }
+  recordHeldState(Ctx, *Peer, Datagram.HeldStateNumber);
   beginSession(Ctx, *Peer, Datagram);
   if (!Peer->Link.isInSession(Datagram)) {
     return; // of an earlier session, or the sender doesn't know this one yet
@@ -270,6 +291,8 @@
     handleReassignment(Ctx, From, *Reassigned);
   } else if (auto *Handover = std::get_if<target_handover>(&Message)) {
     handleHandover(Ctx, std::move(*Handover));
+  } else if (auto *Resubmitted = std::get_if<jobs_resubmitted>(&Message)) {
+    handleResubmissions(Ctx, From, *Resubmitted);
   }
 }
 
@@ -312,7 +335,7 @@
   if (Due.isAny()) {
     ++State.StateNumber;
     recordStateSent(State, Ctx.Now);
-    HostState = encodeState(makeHostState(State, Ctx.Now));
+    HostState = encodeState(makeAdvertisedState(State, Ctx.Now));
   }
   if (Due.ForNeighbours) {
     State.StateSentAt = Ctx.Now;
--- a/src/core/pool/job_admission.cpp
+++ b/src/core/pool/job_admission.cpp
@@ -5,6 +5,7 @@
 #include "core/pool/job_offers_p.h"
 #include "core/pool/load/retry_time_p.h"
 #include "core/pool/load/turn_away_cost_p.h"
+#include "core/pool/resubmissions_p.h"
 
 #include "tarragonbridge/pool/config.h"
 
@@ -22,6 +23,7 @@
   Job.Route = Route;
   Job.Specification = std::move(Submitted.Job.Specification);
   Job.SubmittedAt = Ctx.Now;
+  Job.CallerSeenAt = Ctx.Now;
   const auto EarlierRecord = Coordinator.EndedJobs.find(Job.Id);
   const std::uint32_t LastAttemptNumber =
       EarlierRecord == Coordinator.EndedJobs.end()
@@ -143,7 +145,7 @@
     return;
   }
   Job.AwaitsOwner = hasNoSlots(View) && Job.AwaitsOwnerUntil > Ctx.Now;
-  if (Job.AwaitsOwner || endAfterCrashes(Ctx, Job)) {
+  if (Job.AwaitsOwner || !isReleased(Ctx, Job) || endAfterCrashes(Ctx, Job)) {
     return;
   }
   const std::vector<job_task *> Tasks = tasksToPlace(Job);
@@ -233,6 +235,7 @@
   if (Open != Coordinator.Jobs.end()) {
     // A resubmission of an open job: each of its requests gets the response.
     Open->second.Requests.push_back(Request);
+    Open->second.CallerSeenAt = Ctx.Now;
     Coordinator.JobIdByRequest[static_cast<std::uint64_t>(Request)] = Id;
     return;
   }
--- a/src/core/pool/job_completion.cpp
+++ b/src/core/pool/job_completion.cpp
@@ -4,6 +4,7 @@
 #include "core/pool/job_offers_p.h"
 #include "core/pool/load/retry_time_p.h"
 #include "core/pool/load/turn_away_cost_p.h"
+#include "core/pool/resubmissions_p.h"
 #include "tarragonbridge/pool/config.h"
 
 #include <algorithm>
@@ -96,6 +97,7 @@
   const auto Found = Coordinator.Jobs.find(Id);
   open_job &Job = Found->second;
   cancelOfferedTasks(Ctx, Job);
+  keepEndingAttempts(Ctx, Job);
   for (const request_handle Request : Job.Requests) {
     Coordinator.JobIdByRequest.erase(static_cast<std::uint64_t>(Request));
     Ctx.Effects.emplace_back(respond_to_caller{Request, Kind, RetryAfter, 0,
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -331,6 +331,8 @@
     Owner.Cancelled[{From, Attempt}] = Ctx.Now;
     if (Dequeued > 0) {
       Owner.markCapacityChanged();
+      sendMessage(Ctx, From,
+                  task_ended{Attempt, attempt_outcome::NotStarted, "", {}});
       continue;
     }
     for (auto &[Id, OwnedTarget] : Owner.OwnedTargets) {
--- a/src/core/pool/pauses.cpp
+++ b/src/core/pool/pauses.cpp
@@ -22,6 +22,9 @@
   Pause.ResumedAt = Ctx.Now;
   Pause.CallersCheckedBy = Ctx.Now + config::CallerCheckTime;
   Pause.PeersCheckedBy = Ctx.Now + config::PeerCheckTime;
+  if (Last + config::JobListPause <= Ctx.Now) {
+    Pause.JobListsReadBy = Ctx.Now + config::PeerCheckTime;
+  }
   Ctx.count(counter::Pauses);
   Ctx.log("resumed",
           {{"paused_ms", millisecondsText(until(Ctx.Now, Last))},
--- a/src/core/pool/peer_codec.cpp
+++ b/src/core/pool/peer_codec.cpp
@@ -188,6 +188,21 @@
           HasToken ? decodeUint64(at(Row, TokenIndex)) : 0};
 }
 
+array encode(const std::vector<std::uint64_t> &Numbers) {
+  return array(Numbers.begin(), Numbers.end());
+}
+std::vector<std::uint64_t> decodeNumbers(const value &Row) {
+  std::vector<std::uint64_t> Numbers;
+  for (const value &Number : Row.as_array()) {
+    Numbers.push_back(decodeUint64(Number));
+  }
+  return Numbers;
+}
+
+array encode(const jobs_resubmitted &Resubmitted) {
+  return row("resubmitted", encode(Resubmitted.Jobs));
+}
+
 array encode(const target_handover &Handover) {
   array Attempts;
   for (const handover_attempt &HandoverAttempt : Handover.Attempts) {
@@ -237,6 +252,9 @@
   if (Kind == "handover") {
     return decodeHandover(Row);
   }
+  if (Kind == "resubmitted") {
+    return jobs_resubmitted{decodeNumbers(at(Row, 1))};
+  }
   throw std::out_of_range("unknown kind of message");
 }
 
@@ -288,7 +306,7 @@
   return row(State.IsShuttingDown, std::int64_t(State.ConfigurationVersion),
              encodeTime(State.PredictedQueueWait), State.Slots, Targets,
              encode(State.Crashes), State.CanOwnTargets,
-             encode(State.Evacuations));
+             encode(State.Evacuations), encode(State.OpenJobs));
 }
 host_state decodeState(const value &Row) {
   host_state State{at(Row, 0).as_bool(),
@@ -308,6 +326,10 @@
   if (Row.as_array().size() > EvacuationsIndex) {
     State.Evacuations = decodeEvacuations(at(Row, EvacuationsIndex));
   }
+  constexpr std::size_t OpenJobsIndex = 8;
+  if (Row.as_array().size() > OpenJobsIndex) {
+    State.OpenJobs = decodeNumbers(at(Row, OpenJobsIndex));
+  }
   for (const value &FreeCapacity : at(Row, 4).as_array()) {
     State.Targets.push_back(
         {decodeText(at(FreeCapacity, 0)), decodeText(at(FreeCapacity, 1)),
@@ -343,10 +365,6 @@
 }
 
 std::string encodeDatagram(const datagram &Datagram, std::string_view State) {
-  array AckNumbers;
-  for (const std::uint64_t Number : Datagram.SelectiveAcks) {
-    AckNumbers.emplace_back(Number);
-  }
   array Messages;
   for (const auto &[Number, Message] : Datagram.Messages) {
     Messages.emplace_back(
@@ -356,8 +374,9 @@
   const array Root =
       row(encode(Datagram.From), Datagram.FailureDomain,
           Datagram.ReceiverIncarnation, Datagram.StateNumber,
-          Datagram.AckedStateNumber, Datagram.AckedUpTo, AckNumbers, Messages,
-          Datagram.Epoch, Datagram.AckedEpoch);
+          Datagram.AckedStateNumber, Datagram.AckedUpTo,
+          encode(Datagram.SelectiveAcks), Messages, Datagram.Epoch,
+          Datagram.AckedEpoch, Datagram.HeldStateNumber);
   std::string Bytes = boost::json::serialize(Root);
   if (!State.empty()) {
     Bytes += '\n';
@@ -386,15 +405,17 @@
     }
     Datagram.AckedStateNumber = decodeUint64(at(Root, 4));
     Datagram.AckedUpTo = decodeUint64(at(Root, 5));
-    for (const value &Number : at(Root, 6).as_array()) {
-      Datagram.SelectiveAcks.push_back(decodeUint64(Number));
-    }
+    Datagram.SelectiveAcks = decodeNumbers(at(Root, 6));
     for (const value &Message : at(Root, 7).as_array()) {
       Datagram.Messages.push_back(
           {decodeUint64(at(Message, 0)), decodeMessage(at(Message, 1))});
     }
     Datagram.Epoch = decodeUint64(at(Root, 8));
     Datagram.AckedEpoch = decodeUint64(at(Root, 9));
+    constexpr std::size_t HeldStateIndex = 10;
+    if (Root.as_array().size() > HeldStateIndex) {
+      Datagram.HeldStateNumber = decodeUint64(at(Root, HeldStateIndex));
+    }
     return Datagram;
   } catch (const std::exception &) {
     return std::nullopt;
--- a/src/core/pool/peer_message_size.cpp
+++ b/src/core/pool/peer_message_size.cpp
@@ -82,6 +82,11 @@
   return BaseBytes + sizeOf(Reassigned.Attempts);
 }
 
+std::size_t sizeOf(const jobs_resubmitted &Resubmitted) {
+  constexpr std::size_t DigestBytes = 21; ///< the longest, with a comma
+  return BaseBytes + DigestBytes * Resubmitted.Jobs.size();
+}
+
 std::size_t sizeOf(const target_handover &Handover) {
   std::size_t Sum = BaseBytes + escapedSize(Handover.Target);
   for (const handover_attempt &Transferred : Handover.Attempts) {
--- a/src/core/pool/peers.cpp
+++ b/src/core/pool/peers.cpp
@@ -50,6 +50,11 @@
   Peer.Member = Member;
   Peer.KnownSince = Ctx.Now;
   Peer.Link = makeLink(Ctx.Now);
+  if (Former != Ctx.State.Peers.end()) {
+    const peer_host &Process = Former->second;
+    Peer.FormerOpenJobs =
+        Process.HasState ? Process.OpenJobs : Process.FormerOpenJobs;
+  }
   Ctx.log("peer_known",
           {{"host", Member.Host.Name},
            {"incarnation", std::to_string(Member.Host.Incarnation)},
--- a/src/core/pool/pool.cpp
+++ b/src/core/pool/pool.cpp
@@ -2,6 +2,7 @@
 
 #include "core/pool/crashes_p.h"
 #include "core/pool/pauses_p.h"
+#include "core/pool/resubmissions_p.h"
 #include "core/pool/state_p.h"
 #include "tarragonbridge/pool/config.h"
 
@@ -261,6 +262,9 @@
 void reduce(pool_state &State, event &&Event, boot_time Now,
             std::vector<effect> &Effects) {
   reducer_context Ctx{State, Now, Effects};
+  if (State.StartedAt == boot_time{}) {
+    State.StartedAt = Now;
+  }
   const bool CouldOwnTargets = canOwnTargets(State);
   if (notePause(Ctx)) {
     handleLoopbackMessages(Ctx); // cancellations, before the event
@@ -285,6 +289,10 @@
     expireJobs(Ctx);
   }
   runUntilIdle(Ctx);
+  if (!State.Coordinator.UnreleasedJobs.empty()) {
+    placeReleasedJobs(Ctx);
+    runUntilIdle(Ctx);
+  }
   continueShutdown(Ctx);
   flushDatagrams(Ctx);
 }
@@ -350,6 +358,7 @@
                "given_up_attempts",
                "given_up_crashes",
                "given_up_paused",
+               "given_up_resubmitted",
                "callers_left",
                "tasks_offered",
                "offers_refused",
@@ -380,7 +389,9 @@
                "messages_dropped",
                "pauses",
                "reassignments_repeated",
-               "strangers_dropped"};
+               "strangers_dropped",
+               "callers_unproved",
+               "withdrawals_requested"};
   return Names.at(static_cast<std::size_t>(Counter));
 }
 
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -23,6 +23,12 @@
 
 namespace tarragonbridge::pool {
 
+/// Jobs that a process of a peer has listed as open. Module resubmissions.
+struct listed_jobs {
+  std::vector<std::uint64_t> Digests; ///< sorted
+  boot_time ReceivedAt;               ///< epoch: never
+};
+
 /// Another host. Module peers.
 struct peer_host {
   member_record Member;
@@ -37,6 +43,12 @@
   std::uint64_t StateNumberBeforePause = 0; ///< the same before the last pause
   bool HasState = false;
   host_state State;
+  std::uint64_t HeldStateNumber = 0; ///< number of State
+  listed_jobs OpenJobs;
+  listed_jobs FormerOpenJobs; ///< of the peer's earlier process
+  /// Latest state of this host of which the peer has the content.
+  std::uint64_t KnownStateNumber = 0;
+  boot_time KnownStateSentAt;
   bool IsNeighbour = false;
   bool NeedsState = true; ///< at once: it is new, or can't have confirmed one
   peer_link Link;
@@ -147,6 +159,7 @@
   std::string Specification;
   std::vector<job_task> Tasks;
   boot_time SubmittedAt;
+  boot_time CallerSeenAt;      ///< the latest submission
   boot_time ObjectiveDeadline; ///< the end of the latency objective
   boot_time ExpiresAt;         ///< abandoned then
   boot_time AwaitsOwnerUntil;  ///< refused then if no target has an owner
@@ -156,11 +169,32 @@
   /// Its callers may have been served elsewhere: its tasks are cancelled and
   /// not placed again. It is done only if all outcomes are on their way.
   bool IsWithdrawn = false;
+  /// Number of the first of the states that have listed it since, 0: none has.
+  std::uint64_t ListedSince = 0;
+  std::set<std::string> AskedHosts; ///< to withdraw their submission of it
+};
+
+/// A job that has ended while attempts at its tasks may still run. Module
+/// resubmissions.
+struct ending_job {
+  struct attempt {
+    std::uint32_t Step = 0;
+    std::uint32_t Task = 0;
+    std::uint32_t AttemptNumber = 0;
+    bool operator==(const attempt &) const = default;
+  };
+  std::vector<attempt> Attempts; ///< that aren't known to have ended
+  boot_time SubmittedAt;
+  boot_time EndsBy;                   ///< no lease on them lasts longer
+  std::set<std::string> WaitingHosts; ///< to which it has been submitted again
 };
 
 struct coordinator_state {
   std::map<std::string, open_job, std::less<>> Jobs;             ///< by id
   std::unordered_map<std::uint64_t, std::string> JobIdByRequest; ///< by request
+  std::map<std::string, ending_job, std::less<>> EndingJobs;     ///< by id
+  /// Open jobs that wait for attempts of earlier submissions to end.
+  std::set<std::string> UnreleasedJobs;
   /// What is kept of a job that ended recently, for its resubmission.
   struct ended_job {
     /// Also that of late copies of its submission; none if it may be submitted
@@ -200,11 +234,14 @@
   boot_time CallersCheckedBy;
   /// Until then, silences of peers prove nothing: they include the pause.
   boot_time PeersCheckedBy;
+  /// Until then, the jobs that peers listed before the pause prove nothing.
+  boot_time JobListsReadBy;
 };
 
 struct pool_state {
   pool_init Init;
   counters Counters;
+  boot_time StartedAt;            ///< the first event
   configuration Configuration;    ///< version 0: none yet
   bool HasMemberSnapshot = false; ///< the list of hosts was received
   bool HasTargetSnapshot = false;
--- a/tests/unit/pool_overlaps_test.cpp
+++ b/tests/unit/pool_overlaps_test.cpp
@@ -42,6 +42,7 @@
   RestartTarget,
   RestartTargetSmaller,
   Disconnect,
+  LoseDisconnections, ///< to one host, for a while
 };
 
 struct weighted_disruption {
@@ -95,6 +96,7 @@
     Simulation.recordTargets();
     Simulation.setRequestFaults(Family.Faults);
     for (int Step = 0; Step < Steps; ++Step) {
+      endLosses();
       if (Random() % StepsPerDisruption == 0) {
         disrupt(chooseDisruption());
       }
@@ -284,6 +286,22 @@
     }
   }
 
+  void loseDisconnections(std::size_t Host, milliseconds Time) {
+    Simulation.loseDisconnections(Host);
+    LossEnds[Host] = Simulation.now() + Time;
+  }
+
+  void endLosses() {
+    std::erase_if(LossEnds, [this](const auto &Entry) {
+      const auto &[Host, EndsAt] = Entry;
+      if (EndsAt > Simulation.now()) {
+        return false;
+      }
+      Simulation.deliverDisconnections(Host);
+      return true;
+    });
+  }
+
   void kill(std::size_t Host) {
     if (Simulation.isRunning(Host)) {
       HostEvents.erase(Host);
@@ -406,6 +424,8 @@
     }
     case disruption::Disconnect:
       return disconnectOne();
+    case disruption::LoseDisconnections:
+      return loseDisconnections(Host, between(200ms, 2s));
     }
   }
 
@@ -415,6 +435,7 @@
   bool HasStartsByOldCapacity = false;
   std::vector<caller> Callers;
   std::vector<flapping_link> Flaps;
+  std::map<std::size_t, boot_time> LossEnds; ///< of disconnections, by host
   /// The end of a pause or the kill after a termination, by host.
   std::map<std::size_t, std::pair<boot_time, std::function<void()>>> HostEvents;
 };
@@ -565,6 +586,27 @@
         {LongPause, 1}},
        makeFaults(0.1, 0.05, 0.02),
        0.05},
+      {"lost disconnections",
+       {{LoseDisconnections, 6}, {Disconnect, 8}, {Heal, 1}},
+       Few,
+       0.02},
+      {"lost disconnections and pauses",
+       {{LoseDisconnections, 6}, {Disconnect, 8}, {ShortPause, 4}, {Heal, 1}},
+       Few,
+       0.02,
+       true},
+      {"lost disconnections and cuts",
+       {{LoseDisconnections, 5},
+        {Disconnect, 8},
+        {CutHosts, 2},
+        {CutDatagrams, 2},
+        {Heal, 2}},
+       Few,
+       0.05},
+      {"lost disconnections and kills",
+       {{LoseDisconnections, 5}, {Disconnect, 8}, {Kill, 2}, {Restart, 4}},
+       Few,
+       0.02},
       {"timers before events",
        {{ShortPause, 4},
         {LongPause, 6},
--- a/tests/unit/pool_pause_test.cpp
+++ b/tests/unit/pool_pause_test.cpp
@@ -249,10 +249,12 @@
 
 namespace {
 /// Callers leave as their host is paused, which reads it some time after it
-/// wakes, and submit their jobs to another one.
+/// wakes, and submit their jobs again.
+/// @param[in] ResubmittedTo the host: 0 is the former one
 /// @returns the broken rules
 std::string readDeparturesLate(milliseconds PauseTime, milliseconds ReadAfter,
-                               double LateStops, std::uint64_t Seed) {
+                               double LateStops, std::uint64_t Seed,
+                               std::size_t ResubmittedTo = 1) {
   pool_simulation World(worldOf(2, 1, Seed));
   World.settle();
   const auto Requests = submitSingles(World, 0, 6, 4s);
@@ -270,7 +272,7 @@
   }
   World.runFor(std::max<microseconds>(
       std::chrono::duration_cast<microseconds>(ResubmitAt - World.now()), 0us));
-  submitSingles(World, 1, 6, 4s);
+  submitSingles(World, ResubmittedTo, 6, 4s);
   World.setRequestFaults({});
   World.runFor(6s);
   return World.violations();
@@ -288,3 +290,18 @@
   CHECK_THAT(readDeparturesLate(PauseTime, ReadAfter, LateStops, Seed),
              Catch::Equals(""));
 }
+
+// Guards against TWICE: packets of departures were lost with the pause, and are
+// sent again when the host has ceased to doubt that its callers are there.
+TEST_CASE("departures may be read long after a pause", "[pool]") {
+  const milliseconds PauseTime = GENERATE(300ms, 600ms, 690ms, 790ms);
+  const milliseconds ReadAfter =
+      GENERATE(110ms, 200ms, 400ms, 600ms, 800ms, 1'400ms);
+  const double LateStops = GENERATE(0.0, 1.0);
+  const std::size_t ResubmittedTo = GENERATE(0U, 1U);
+  const std::uint64_t Seed = GENERATE(1U, 2U);
+  CAPTURE(PauseTime.count(), ReadAfter.count(), LateStops, ResubmittedTo, Seed);
+  CHECK_THAT(
+      readDeparturesLate(PauseTime, ReadAfter, LateStops, Seed, ResubmittedTo),
+      Catch::Equals(""));
+}
--- a/tests/unit/pool_simulation.cpp
+++ b/tests/unit/pool_simulation.cpp
@@ -325,7 +325,21 @@
 }
 
 void pool_simulation::disconnect(std::size_t Host, request_handle Request) {
-  post(Host, caller_disconnected{Request});
+  const bool IsLost = LosingDisconnections.contains(Host);
+  trace(hostName(Host),
+        {IsLost ? "disconnection_lost" : "disconnected",
+         {{"job", Requests.at(static_cast<std::uint64_t>(Request)).Job}}});
+  if (!IsLost) {
+    post(Host, caller_disconnected{Request});
+  }
+}
+
+void pool_simulation::loseDisconnections(std::size_t Host) {
+  LosingDisconnections.insert(Host);
+}
+
+void pool_simulation::deliverDisconnections(std::size_t Host) {
+  LosingDisconnections.erase(Host);
 }
 
 std::optional<response_kind>
--- a/tests/unit/pool_simulation.h
+++ b/tests/unit/pool_simulation.h
@@ -96,6 +96,10 @@
   void cancel(std::size_t Host, const simulated_job &Job);
   /// The caller disconnects before the response.
   void disconnect(std::size_t Host, request_handle Request);
+  /// Between the calls the network loses the ends of callers' connections to a
+  /// host, which takes those that disconnect for present.
+  void loseDisconnections(std::size_t Host);
+  void deliverDisconnections(std::size_t Host);
   /// @returns the response, nullopt while there is none
   std::optional<response_kind> responseOf(request_handle Request) const;
   milliseconds responseTime(request_handle Request) const;
@@ -275,6 +279,7 @@
   std::set<std::pair<std::size_t, std::size_t>> PartitionedHosts;
   std::set<std::size_t> PartitionedFromTargets;
   std::set<std::pair<std::size_t, std::size_t>> CutDatagrams;
+  std::set<std::size_t> LosingDisconnections; ///< hosts
   std::map<std::pair<std::size_t, std::string>, path_cut> CutPaths;
   std::set<std::string> Unlisted;
   std::vector<target_record> RecordedTargets;
