--- a/include/tarragonbridge/pool/config.h
+++ b/include/tarragonbridge/pool/config.h
@@ -100,7 +100,7 @@
 /// to know of it when its caller, having left at once, submits it again.
 constexpr milliseconds ListedJobAge{200};
 /// Jobs that a host lists in its state, so that the datagram isn't too large.
-constexpr std::size_t MaxListedJobs = 1'000;
+constexpr std::size_t MaxListedJobs = 300;
 /// A job is abandoned this long after its caller was last proved not to have
 /// submitted it to another host: its attempts have been stopped when the caller
 /// does so, 1.3 s after it left.
--- a/include/tarragonbridge/pool/pool.h
+++ b/include/tarragonbridge/pool/pool.h
@@ -96,6 +96,7 @@
   GivenUpAttempts,
   GivenUpCrashes,     ///< targets crashed under a task of the job
   GivenUpPaused,      ///< this process stood still while the job was open
+  GivenUpUnproved,    ///< the caller may have submitted the job to another host
   GivenUpResubmitted, ///< the caller had submitted the job to another host
   CallersLeft,
   TasksOffered,
@@ -129,7 +130,6 @@
   ReassignmentsRepeated, ///< to a coordinator, in a new session with it
   StrangersDropped,      ///< peers that no list has shown: too many others were
                          ///< known
-  CallersUnproved,       ///< jobs whose callers weren't proved to have stayed
   WithdrawalsRequested,  ///< of jobs that are still open at another host
   Count
 };
--- a/src/core/pool/coordinator.cpp
+++ b/src/core/pool/coordinator.cpp
@@ -1,7 +1,6 @@
 #include "core/pool/crashes_p.h"
 #include "core/pool/job_completion_p.h"
 #include "core/pool/job_offers_p.h"
-#include "core/pool/pauses_p.h"
 #include "core/pool/resubmissions_p.h"
 
 #include "tarragonbridge/pool/config.h"
@@ -29,9 +28,9 @@
 /// without success.
 void rescheduleTask(reducer_context &Ctx, open_job &Job, job_task &Task) {
   Task.Phase = task_phase::Unplaced;
-  if (Job.IsWithdrawn) {
-    Ctx.count(counter::GivenUpPaused);
-    abandonJob(Ctx, std::string(Job.Id), "paused");
+  if (Job.Withdrawal) {
+    Ctx.count(Job.Withdrawal->Counter);
+    abandonJob(Ctx, std::string(Job.Id), Job.Withdrawal->Reason);
     return;
   }
   pool_view View = makePoolView(Ctx.State, Ctx.Now);
@@ -86,8 +85,20 @@
                         {"target", Target}});
 }
 
-/// Gives up the jobs of held tasks whose crashes are confirmed, and places the
-/// tasks whose targets were only silent.
+job_task *findTask(open_job &Job, const attempt_ref &Attempt) {
+  for (job_task &Task : Job.Tasks) {
+    if (Task.Step == Attempt.Step && Task.Index == Attempt.Task) {
+      return Task.AttemptNumber == Attempt.AttemptNumber &&
+                     Task.Phase == task_phase::Offered
+                 ? &Task
+                 : nullptr;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
 void reviewHeldJobs(reducer_context &Ctx) {
   std::vector<std::string> Reviewed;
   for (auto &[Id, Job] : Ctx.State.Coordinator.Jobs) {
@@ -104,29 +115,6 @@
   }
 }
 
-/// @returns whether the owner of a task has timed out
-bool isOwnerLost(const pool_state &State, const open_job &Job, boot_time Now) {
-  return std::any_of(
-      Job.Tasks.begin(), Job.Tasks.end(), [&](const job_task &Task) {
-        return Task.Phase == task_phase::Offered &&
-               !hostReceivedWithin(State, Task.Owner, Now, config::HostTimeout);
-      });
-}
-
-job_task *findTask(open_job &Job, const attempt_ref &Attempt) {
-  for (job_task &Task : Job.Tasks) {
-    if (Task.Step == Attempt.Step && Task.Index == Attempt.Task) {
-      return Task.AttemptNumber == Attempt.AttemptNumber &&
-                     Task.Phase == task_phase::Offered
-                 ? &Task
-                 : nullptr;
-    }
-  }
-  return nullptr;
-}
-
-} // namespace
-
 void detachCaller(reducer_context &Ctx,
                   const caller_disconnected &Disconnected) {
   coordinator_state &Coordinator = Ctx.State.Coordinator;
@@ -235,7 +223,7 @@
     job_task *Task = Found == Ctx.State.Coordinator.Jobs.end()
                          ? nullptr
                          : findTask(Found->second, Attempt);
-    if (Task == nullptr || Found->second.IsWithdrawn) {
+    if (Task == nullptr || Found->second.Withdrawal) {
       // The task ended or was cancelled while it was being reassigned.
       sendMessage(Ctx, From, tasks_cancelled{{Attempt}});
       continue;
@@ -250,103 +238,4 @@
   }
 }
 
-namespace {
-/// Cancels the tasks of a job whose callers may have been served elsewhere. It
-/// is given up at once if none of them was placed.
-void withdrawJob(reducer_context &Ctx, open_job &Job) {
-  const bool IsPlaced =
-      std::any_of(Job.Tasks.begin(), Job.Tasks.end(), [](const job_task &Task) {
-        return Task.Phase == task_phase::Offered;
-      });
-  if (!IsPlaced) {
-    Ctx.count(counter::GivenUpPaused);
-    abandonJob(Ctx, std::string(Job.Id), "paused");
-    return;
-  }
-  Job.IsWithdrawn = true;
-  Job.ExpiresAt = Ctx.Now + config::WithdrawnJobTime;
-  cancelOfferedTasks(Ctx, Job);
-}
-
-/// Withdraws the jobs whose callers aren't proved to have stayed.
-void withdrawUnprovedJobs(reducer_context &Ctx) {
-  std::vector<open_job *> Unproved;
-  for (auto &[Id, Job] : Ctx.State.Coordinator.Jobs) {
-    if (!Job.IsWithdrawn && isCallerUnproved(Ctx.State, Job, Ctx.Now)) {
-      Unproved.push_back(&Job);
-    }
-  }
-  for (open_job *Job : Unproved) {
-    Ctx.count(counter::CallersUnproved);
-    Ctx.log("job_withdrawn", {{"job", Job->Id}, {"reason", "caller_unproved"}});
-    withdrawJob(Ctx, *Job);
-  }
-}
-} // namespace
-
-void expireJobs(reducer_context &Ctx) {
-  pool_state &State = Ctx.State;
-  reviewHeldJobs(Ctx);
-  expireEndingJobs(Ctx);
-  withdrawUnprovedJobs(Ctx);
-  std::vector<std::string> JobsAwaitingOwner;
-  for (const auto &[Id, Job] : State.Coordinator.Jobs) {
-    if (Job.AwaitsOwner) {
-      JobsAwaitingOwner.push_back(Id);
-    }
-  }
-  for (const std::string &Id : JobsAwaitingOwner) {
-    placeJob(Ctx, State.Coordinator.Jobs.find(Id)->second);
-  }
-  std::vector<std::pair<std::string, std::string_view>> Ended;
-  for (const auto &[Id, Job] : State.Coordinator.Jobs) {
-    if (Job.ExpiresAt <= Ctx.Now) {
-      Ended.emplace_back(Id, Job.IsWithdrawn ? "paused" : "too_late");
-      continue;
-    }
-    if (!isCheckingPeers(State, Ctx.Now) && isOwnerLost(State, Job, Ctx.Now)) {
-      Ended.emplace_back(Id, "owner_lost");
-    }
-  }
-  for (const auto &[Id, Reason] : Ended) {
-    const bool IsWithdrawn =
-        State.Coordinator.Jobs.find(Id)->second.IsWithdrawn;
-    Ctx.count(IsWithdrawn ? counter::GivenUpPaused : counter::GivenUpLate);
-    failJob(Ctx, Id, response_kind::JobAbandoned, Reason,
-            describeOwners(State.Coordinator.Jobs.find(Id)->second));
-  }
-}
-
-void withdrawJobs(reducer_context &Ctx, boot_time CallersKnownAt) {
-  pool_state &State = Ctx.State;
-  std::vector<open_job *> Withdrawn;
-  for (auto &[Id, Job] : State.Coordinator.Jobs) {
-    const boot_time KnownAt = std::max(Job.SubmittedAt, CallersKnownAt);
-    if (!Job.IsWithdrawn && KnownAt + config::CoordinatorTimeout <= Ctx.Now) {
-      Withdrawn.push_back(&Job);
-    }
-  }
-  for (open_job *Job : Withdrawn) {
-    withdrawJob(Ctx, *Job);
-  }
-}
-
-void abandonAllJobs(reducer_context &Ctx) {
-  while (!Ctx.State.Coordinator.Jobs.empty()) {
-    const std::string Id = Ctx.State.Coordinator.Jobs.begin()->first;
-    failJob(Ctx, Id, response_kind::JobAbandoned, "shutting_down");
-  }
-}
-
-boot_time nextJobTimerAt(const pool_state &State) {
-  boot_time NextExpiry = boot_time::max();
-  for (const auto &[Id, Job] : State.Coordinator.Jobs) {
-    NextExpiry = std::min(NextExpiry, Job.ExpiresAt);
-  }
-  for (const auto &[Id, Ending] : State.Coordinator.EndingJobs) {
-    NextExpiry = std::min(NextExpiry, Ending.EndsBy);
-  }
-  return NextExpiry;
-}
-
 } // namespace tarragonbridge::pool
--- a/src/core/pool/state_p.h
+++ b/src/core/pool/state_p.h
@@ -151,6 +151,12 @@
   resource_vector RequiredResources;
 };
 
+/// Why a job is withdrawn.
+struct withdrawal {
+  std::string_view Reason; ///< in the log
+  counter Counter = counter::GivenUpPaused;
+};
+
 struct open_job {
   std::string Id;
   /// Of the first submission and of resubmissions.
@@ -168,7 +174,7 @@
   bool MayHaveRun = false;
   /// Its callers may have been served elsewhere: its tasks are cancelled and
   /// not placed again. It is done only if all outcomes are on their way.
-  bool IsWithdrawn = false;
+  std::optional<withdrawal> Withdrawal;
   /// Number of the first of the states that have listed it since, 0: none has.
   std::uint64_t ListedSince = 0;
   std::set<std::string> AskedHosts; ///< to withdraw their submission of it
@@ -425,6 +431,9 @@
 void handleTaskEnded(reducer_context &Ctx, const task_ended &Ended);
 void handleReassignment(reducer_context &Ctx, const host_ref &From,
                         const attempts_reassigned &Moved);
+/// Gives up the jobs of held tasks whose crashes are confirmed, and places the
+/// tasks whose targets were only silent.
+void reviewHeldJobs(reducer_context &Ctx);
 /// Samples the fraction of slots whose owners have queued tasks.
 void sampleSaturation(reducer_context &Ctx);
 /// Places waiting jobs, and abandons jobs that have expired or whose owners
