Tests of left jobs that are queued, in doubt, or come back after a restart

The tests of jobs whose callers left unnoticed played running tasks at hosts that live. Added: tasks that are queued or in doubt, the resubmission at the same host, the former host restarted, the new one restarted or paused, more jobs than a host may list, and the fields of datagrams.

--- a/tests/unit/pool_parts_test.cpp
+++ b/tests/unit/pool_parts_test.cpp
@@ -265,8 +265,10 @@
                          {{"t", "desk", Half, 0.5}},
                          {{{"j", 0, 2}, {1, 2}}},
                          false,
-                         {{"d", true, 6}, {"e", false, 7}}};
+                         {{"d", true, 6}, {"e", false, 7}},
+                         {1, ~0ULL}};
   Sent.AckedStateNumber = 9;
+  Sent.HeldStateNumber = 8;
   Sent.Messages.push_back(
       {4, task_offer{"j",
                      "desk",
@@ -277,8 +279,11 @@
       {5, task_ended{{"j", 0, 2, 1}, attempt_outcome::Crashed, "t", 5ms}});
   Sent.Messages.push_back({6, attempts_reassigned{{{"j", 0, 2, 1}}, 8}});
   Sent.Messages.push_back({7, tasks_cancelled{{}, {"j"}}});
+  Sent.Messages.push_back({8, jobs_resubmitted{{~0ULL, 3}}});
   const auto Read = decodeDatagram(encodeDatagram(Sent, encodeState(State)));
   REQUIRE(Read);
+  CHECK(Read->HeldStateNumber == 8);
+  CHECK(Read->State->OpenJobs == State.OpenJobs);
   CHECK(Read->From == Sent.From);
   CHECK(Read->AckedStateNumber == 9);
   CHECK(Read->State->Targets.at(0).Speed == 0.5);
@@ -291,6 +296,8 @@
   CHECK(std::get<attempts_reassigned>(Read->Messages[2].Message).Token == 8);
   CHECK(std::get<tasks_cancelled>(Read->Messages[3].Message).Jobs ==
         std::vector<std::string>{"j"});
+  CHECK(std::get<jobs_resubmitted>(Read->Messages[4].Message).Jobs ==
+        std::vector<std::uint64_t>{~0ULL, 3});
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, "[true]x")));
   CHECK_FALSE(decodeDatagram(encodeDatagram(Sent, ""))->State);
   // Of earlier versions.
@@ -304,6 +311,7 @@
       decodeDatagram(R"([["a",1],"d",0,0,0,0,[],[[1,["moved",[["j",0,2,1]]]],)"
                      R"([2,["cancelled",[["j",0,2,1]]]]],0,0])");
   REQUIRE(Earlier);
+  CHECK(Earlier->HeldStateNumber == 0);
   CHECK(std::get<attempts_reassigned>(Earlier->Messages[0].Message).Token == 0);
   CHECK(std::get<tasks_cancelled>(Earlier->Messages[1].Message).Jobs.empty());
   for (const char *Bad : {"", "{}", "[1]", "[[\"a\",\"b\"]]", "\xff"}) {
