--- a/tools/emulator/job_callers.cpp
+++ b/tools/emulator/job_callers.cpp
@@ -70,6 +70,7 @@
     Job.At = bootNow();
     Job.Fails = draw() < Like.FailingPart;
     Job.IsLeaving = draw() < Init.LeavingPart;
+    Job.LeavesUnnoticed = draw() < Init.UnnoticedPart;
     Jobs.emplace(Id, std::move(Job));
     ++Figures.Asked;
     send(Id);
@@ -83,8 +84,20 @@
          Kind.ObjectiveMargin;
 }
 
+void job_callers::leaveUnnoticed(const std::string &Id) {
+  constexpr milliseconds LeaveAfter{80};
+  Jobs.at(Id).LeavesUnnoticed = false;
+  ++Figures.LeftUnnoticed;
+  Schedule.at(bootNow() + LeaveAfter + Init.ResendAfter,
+              [this, Id] { send(Id); });
+}
+
 void job_callers::send(const std::string &Id) {
   const submitted &Job = Jobs.at(Id);
+  const bool IsLeft = Job.LeavesUnnoticed;
+  if (IsLeft) {
+    leaveUnnoticed(Id);
+  }
   const job_kind &Kind = Init.Kinds[Job.Kind];
   const std::string &Host = Init.Hosts[Random() % Init.Hosts.size()];
   Checker.noteSubmitted({Id, {Init.Service}, {{0, Kind.Tasks}}, 2, false});
@@ -103,9 +116,11 @@
                       std::to_string((Init.TimeLimit - Passed).count())};
   ++Waiting;
   Calls.send(std::move(Call),
-             [this, Id, Host](poolhost::received_response &&Result) {
+             [this, Id, Host, IsLeft](poolhost::received_response &&Result) {
                --Waiting;
-               onAnswer(Id, Host, Result);
+               if (!IsLeft) { // else nobody reads it
+                 onAnswer(Id, Host, Result);
+               }
              });
 }
 
--- a/tools/emulator/job_callers.h
+++ b/tools/emulator/job_callers.h
@@ -33,6 +33,9 @@
   milliseconds TimeLimit{3'000};
   milliseconds ResendAfter{1'300};
   double LeavingPart = 0; ///< of the callers leave after half the objective
+  /// Of the callers leave soon after the submission, and submit the job again.
+  /// Their connections stay open, as if the network had lost their ends.
+  double UnnoticedPart = 0;
   std::uint64_t Seed = 1;
 };
 
@@ -44,6 +47,7 @@
   std::uint64_t Failed = 0; ///< no answer, or given up by the pool
   std::uint64_t Left = 0;
   std::uint64_t Resent = 0;
+  std::uint64_t LeftUnnoticed = 0;
 };
 
 class job_callers {
@@ -67,9 +71,12 @@
     boot_time At;
     bool Fails = false;
     bool IsLeaving = false;
+    bool LeavesUnnoticed = false; ///< its next connection
   };
   void submitNext(std::size_t Kind, boot_time Until);
   void send(const std::string &Id);
+  /// Submits a job again later, as its caller is about to leave.
+  void leaveUnnoticed(const std::string &Id);
   void onAnswer(const std::string &Id, const std::string &Host,
                 const poolhost::received_response &Result);
   double draw() { return std::uniform_real_distribution<>(0, 1)(Random); }
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -177,6 +177,9 @@
   Given.HostName = HostName;
   Given.Seed = Init.Seed;
   Given.LeavingPart = Order.get("leaving", 0.0).asDouble();
+  Given.UnnoticedPart = Order.get("unnoticed", 0.0).asDouble();
+  Given.TimeLimit = milliseconds(
+      Order.get("limit_ms", Json::Int64(Given.TimeLimit.count())).asInt64());
   const double Load = Order.get("load", 1.0).asDouble();
   job_kind Quote;
   Quote.PathPrefix = "/quote/";
@@ -187,7 +190,7 @@
   Long.PathPrefix = "/long/";
   Long.PerSecond = 2 * Load;
   Long.Tasks = 2;
-  Long.Work = milliseconds(400);
+  Long.Work = milliseconds(Order.get("long_ms", 400).asInt64());
   Long.FailingPart = Order.get("failing", 0.0).asDouble();
   Given.Kinds = {Quote, Long};
   Callers = std::make_unique<job_callers>(Schedule, Calls, Checker, Given);
@@ -259,6 +262,7 @@
     Count("failed", Figures.Failed);
     Count("left", Figures.Left);
     Count("resent", Figures.Resent);
+    Count("left_unnoticed", Figures.LeftUnnoticed);
     Count("waiting", Callers->waiting());
   }
   return Body;
--- a/tools/emulator/platform_emulator.h
+++ b/tools/emulator/platform_emulator.h
@@ -1,8 +1,8 @@
 /// Emulator of the users' platform: its store, targets and callers in one
 /// process, with faults to order and its rules checked.
 ///
-/// POST /run {"hosts":[...],"seconds":N,"leaving":0.1} lets callers submit
-/// jobs. POST /faults
+/// POST /run {"hosts":[...],"seconds":N,"leaving":0.1,"unnoticed":0.1,
+/// "long_ms":400,"limit_ms":3000} lets callers submit jobs. POST /faults
 /// {"store":{"down","silent","slow_ms","loses","misses_watches"}} or
 /// {"targets":{"share","late","slow","mute","failing","crash","drain",
 /// "leave"}} (share: of the targets, from the first; 0 heals all).
